--- a/components/decisions/benches/slopes/deployment.rs
+++ b/components/decisions/benches/slopes/deployment.rs
@@ -21,6 +21,7 @@
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::TableAck;
+use wagtailledge_decisions::order::EngineListing;
 use wagtailledge_decisions::order::HeldAsset;
 use wagtailledge_decisions::order::HeldState;
 use wagtailledge_decisions::order::OrderKind;
@@ -125,6 +126,7 @@
     HostStamp {
         name: format!("host-{zone_index:02}-{number:02}"),
         zone: zone(zone_index),
+        scope: zone(zone_index),
         address: format!("10.9.{zone_index}.{number}:7000"),
         incarnation: 0x1234_5678_9abc_def0,
     }
@@ -137,6 +139,7 @@
         ListedHost {
             name: stamp.name,
             zone: stamp.zone,
+            scope: stamp.scope,
             peer_address: stamp.address,
             state: ListedState::Live,
         }
@@ -144,6 +147,7 @@
     let engine = |index: usize| ListedHost {
         name: format!("engine-{index:05}"),
         zone: zone(index % ZONES),
+        scope: zone(index % ZONES),
         peer_address: String::new(),
         state: ListedState::Live,
     };
@@ -186,7 +190,7 @@
     /// Takes in a message from another host.
     pub fn receive(&mut self, from: HostStamp, message: PeerMessage) {
         let envelope = PeerEnvelope { version: MESSAGE_VERSION, from, message };
-        self.submit(HostEvent::Peer(envelope));
+        self.submit(HostEvent::Peer(Box::new(envelope)));
     }
 
     /// Takes in an event; everything outside but other hosts answers at once.
@@ -245,7 +249,8 @@
             bytes: *bytes,
             state: HeldState::Ready,
         };
-        OrderOutcome::Accepted(held.iter().map(item).collect())
+        let held = held.iter().map(item).collect();
+        OrderOutcome::Accepted(EngineListing { held, ..EngineListing::default() })
     }
 
     /// Puts replicas on an engine before the process claims it.
--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -16,9 +16,10 @@
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
+use wagtailledge_decisions::message::ScopeDigest;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
-use wagtailledge_decisions::message::ZoneDigest;
+use wagtailledge_decisions::message::UseRow;
 use wagtailledge_decisions::request::CallerRequest;
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTicket;
@@ -143,7 +144,10 @@
         revision: 1,
         ack: leader.ack(),
         demand: Vec::new(),
-        used: vec!["model-007@1".to_owned(), "adapter-00007".to_owned()],
+        used: vec![
+            UseRow("model-007@1".to_owned(), 3, 27_000),
+            UseRow("adapter-00007".to_owned(), 2, 1_600),
+        ],
         suspects: Vec::new(),
     })
 }
@@ -159,7 +163,7 @@
         version,
         rows: (0..rows).map(row).collect(),
     };
-    PeerMessage::Digest(ZoneDigest {
+    PeerMessage::Digest(ScopeDigest {
         epoch: 1,
         revision: 1,
         update,
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -6,6 +6,7 @@
 use wagtailledge_inventory::item::ItemMap;
 
 use crate::message::PeerEnvelope;
+use crate::order::EngineListing;
 use crate::order::OrderKey;
 use crate::order::OrderOutcome;
 use crate::request::CallerRequest;
@@ -32,23 +33,14 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// Scope of placement that the zone belongs to.
+    pub scope: String,
     /// Address for messages between entry hosts; empty for upstreams.
     pub peer_address: String,
     /// Whether it takes new work.
     pub state: ListedState,
 }
 
-/// What an engine says it holds.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct EngineHoldings {
-    /// Unique names of the models and adapters that it serves.
-    pub serving: Vec<String>,
-    /// Unique names of the models whose weights lie in its host memory.
-    pub in_memory: Vec<String>,
-    /// Unique names of the models whose weights lie on its disk.
-    pub on_disk: Vec<String>,
-}
-
 /// An upstream that registered itself with the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegisteredUpstream {
@@ -60,6 +52,8 @@
     pub service: String,
     /// Availability zone.
     pub zone: String,
+    /// Scope of placement that the zone belongs to.
+    pub scope: String,
     /// IP address and port.
     pub address: String,
     /// Requests it runs at once.
@@ -68,10 +62,8 @@
     pub state: ListedState,
     /// How long it stays, if it is to be taken away soon.
     pub remaining: Option<Duration>,
-    /// Orders it had accepted when it said this.
-    pub sequence: u64,
-    /// Present for engines.
-    pub holdings: Option<EngineHoldings>,
+    /// Present for engines; names only what serves.
+    pub listing: Option<EngineListing>,
 }
 
 /// One change among the upstreams that register themselves.
@@ -124,7 +116,7 @@
     /// The exchange with the upstream ended.
     AttemptEnded(RequestKey, u32, AttemptOutcome),
     /// A message from another entry host.
-    Peer(PeerEnvelope),
+    Peer(Box<PeerEnvelope>),
     /// An answer of the key-value service.
     Store(CallId, StoreOutcome),
     /// An answer of an engine to an order.
@@ -133,6 +125,8 @@
     Load(UpstreamKey, UpstreamLoad),
     /// The platform's configuration, whole, with its revision.
     Inventory(u64, ItemMap),
+    /// All entry hosts that the platform knows.
+    Members(Vec<ListedHost>),
     /// Changes among the upstreams that register themselves.
     Registry(Vec<RegistryChange>),
     /// The host list was read; the question was asked at the moment given.
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -50,6 +50,10 @@
             return;
         }
         *self.by_caller.entry(request.caller).or_default() += 1;
+        if let RequestTarget::Asset(asset) = request.target {
+            let tokens = request.terms.as_ref().map_or(0, |terms| terms.prompt.input);
+            self.used.entry(asset).or_default().add(1, u64::from(tokens));
+        }
         let rank = request.terms.as_ref().map_or(rank, |terms| terms.rank);
         let deadline = now.after(request.deadline.unwrap_or(span));
         let keyed = matches!(request.repeat, RequestRepeat::Keyed(_));
@@ -254,7 +258,7 @@
         *self.running.entry(target).or_default() += 1;
         let (subject, asset) = match target {
             RequestTarget::Asset(asset) => {
-                self.used.insert(asset);
+                self.used.entry(asset).or_default();
                 let name = self.catalog.assets[asset].name.clone();
                 (name.clone(), name)
             }
@@ -392,7 +396,7 @@
     /// Everything that waits for a replica here.
     pub(super) fn demand_rows(&self, now: Moment) -> Vec<DemandRow> {
         let mut rows = Vec::new();
-        for (target, _, waiting) in self.queue.targets() {
+        for (target, head, waiting) in self.queue.targets() {
             let RequestTarget::Asset(asset) = target else {
                 continue;
             };
@@ -401,7 +405,8 @@
             };
             let earliest = self.queue.earliest(target).unwrap_or(now);
             let slack_ms = earliest.since(now).as_millis() as u64;
-            rows.push(DemandRow { asset: record.name.clone(), waiting: waiting as u32, slack_ms });
+            let (asset, rank) = (record.name.clone(), head.rank);
+            rows.push(DemandRow { asset, waiting: waiting as u32, rank, slack_ms });
         }
         for (asset, until) in &self.wanted_until {
             let waiting = self.queue.first(RequestTarget::Asset(*asset)).is_some();
@@ -409,7 +414,8 @@
             if let (false, false, Some(record)) = (waiting, ready, self.catalog.assets.get(*asset))
             {
                 let slack_ms = until.since(now).as_millis() as u64;
-                rows.push(DemandRow { asset: record.name.clone(), waiting: 1, slack_ms });
+                let (asset, rank) = (record.name.clone(), record.rank);
+                rows.push(DemandRow { asset, waiting: 1, rank, slack_ms });
             }
         }
         rows
--- a/components/decisions/src/host/links.rs
+++ b/components/decisions/src/host/links.rs
@@ -5,7 +5,7 @@
 use crate::identity::HostStamp;
 use crate::message::TableAck;
 use crate::routing::ReplicaView;
-use crate::routing::TableScope;
+use crate::routing::TableRange;
 use crate::time::Moment;
 
 /// State of the messages to one other host.
@@ -42,7 +42,7 @@
     }
 
     /// Whether the other end lacks changes that were not sent to it yet.
-    pub fn is_behind(&self, view: &ReplicaView, scope: TableScope) -> bool {
+    pub fn is_behind(&self, view: &ReplicaView, scope: TableRange) -> bool {
         view.is_behind(scope, self.ack) && self.sent != Some(view.version(scope))
     }
 }
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -8,9 +8,10 @@
 mod names;
 mod neighbours;
 mod registry;
+mod scope;
 mod state;
 mod status;
-mod zone;
+mod uses;
 
 pub use names::RouteMatch;
 pub use names::RouteResolution;
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -1,5 +1,6 @@
 //! Upstreams that register themselves with the platform.
 
+use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::UpstreamRecord;
 use wagtailledge_inventory::catalog::UpstreamKind;
 
@@ -7,6 +8,7 @@
 use crate::event::RegisteredUpstream;
 use crate::event::RegistryChange;
 use crate::message::ReplicaState;
+use crate::order::EngineListing;
 use crate::time::Moment;
 
 use super::state::HostReducer;
@@ -22,7 +24,7 @@
         self.hold_until = Moment::default();
         for change in changes {
             match change {
-                RegistryChange::Present(upstream) => self.register(*upstream),
+                RegistryChange::Present(upstream) => self.register(now, *upstream, effects),
                 RegistryChange::Absent(name) => {
                     self.registered.remove(&name);
                     self.unregister(&name);
@@ -33,21 +35,18 @@
         self.pump_all(now, effects);
     }
 
-    /// Puts registered upstreams in that an older configuration had no place for.
-    pub(super) fn restore_registered(&mut self) {
-        let all: Vec<RegisteredUpstream> = self.registered.values().cloned().collect();
-        for upstream in all {
-            self.put_registered(&upstream);
-        }
-    }
-
-    fn register(&mut self, upstream: RegisteredUpstream) {
+    fn register(
+        &mut self,
+        now: Moment,
+        upstream: RegisteredUpstream,
+        effects: &mut Vec<HostEffect>,
+    ) {
         let old = self.registered.get(&upstream.name);
         if old.is_some_and(|old| old.born != upstream.born) {
             // A restart under the same name: nothing known of the earlier process holds.
             self.unregister(&upstream.name);
         }
-        self.put_registered(&upstream);
+        self.put_registered(now, &upstream, effects);
         self.registered.insert(upstream.name.clone(), upstream);
     }
 
@@ -58,7 +57,12 @@
         }
     }
 
-    fn put_registered(&mut self, upstream: &RegisteredUpstream) {
+    fn put_registered(
+        &mut self,
+        now: Moment,
+        upstream: &RegisteredUpstream,
+        effects: &mut Vec<HostEffect>,
+    ) {
         let Some(service) = self.catalog.service_named(&upstream.service) else {
             return;
         };
@@ -70,6 +74,7 @@
         let record = UpstreamRecord {
             name: upstream.name.clone(),
             zone: upstream.zone.clone(),
+            scope: upstream.scope.clone(),
             address: upstream.address.clone(),
             memory_bytes: pool.map_or(0, |pool| pool.memory_bytes),
             slots: upstream.slots,
@@ -81,11 +86,34 @@
             return;
         };
         self.members.put_upstream(&upstream.name, Some(upstream.state));
-        let Some(holdings) = &upstream.holdings else {
+        if let Some(listing) = &upstream.listing {
+            self.apply_published(now, key, upstream, listing, effects);
+        }
+    }
+
+    /// Takes in what an engine published: by its leader's placement if this process leads, else as
+    /// the best that is known while its leader is silent.
+    fn apply_published(
+        &mut self,
+        now: Moment,
+        key: UpstreamKey,
+        upstream: &RegisteredUpstream,
+        listing: &EngineListing,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        if self.placement.is_some() && upstream.scope == self.me.scope {
+            self.with_placement(now, effects, |placement, context| {
+                placement.follow_inventory(context);
+                placement.published(context, key, listing);
+            });
             return;
-        };
+        }
+        let heard = self.view.last_heard(&upstream.scope);
+        if heard.is_some_and(|heard| now.since(heard) < self.timing.peer_timeout) {
+            return;
+        }
         let serving: Vec<_> =
-            holdings.serving.iter().filter_map(|name| self.catalog.asset_named(name)).collect();
+            listing.held.iter().filter_map(|item| self.catalog.asset_named(&item.asset)).collect();
         for asset in self.view.assets_at(key) {
             if !serving.contains(&asset) {
                 self.view.put(asset, key, None);
@@ -95,4 +123,12 @@
             self.view.put(asset, key, Some(ReplicaState::Ready));
         }
     }
+
+    /// Hands everything that engines have published to a placement that has just begun.
+    pub(super) fn replay_published(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+        let all: Vec<RegisteredUpstream> = self.registered.values().cloned().collect();
+        for upstream in all {
+            self.put_registered(now, &upstream, effects);
+        }
+    }
 }
--- a/components/decisions/src/host/zone.rs
+++ b/components/decisions/src/host/scope.rs
@@ -1,4 +1,4 @@
-//! Messages between a zone's leader and its hosts.
+//! Messages between a scope's leader and its hosts.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -12,28 +12,30 @@
 use crate::message::PeerMessage;
 use crate::message::TableUpdate;
 use crate::request::RequestTarget;
-use crate::routing::TableScope;
+use crate::routing::TableRange;
 use crate::routing::ViewChange;
 use crate::time::Moment;
 
 use super::links::PeerLink;
 use super::state::HostReducer;
 use super::state::LeaderContact;
+use super::uses::from_rows;
+use super::uses::to_rows;
 
 /// Between two looks at whom a leader should send something.
 const NOTICE_ROUND: Duration = Duration::from_millis(100);
 
 impl HostReducer {
-    /// Sends what is due to the leader, to the zone's hosts and to other zones.
+    /// Sends what is due to the leader, to the scope's hosts and to other scopes.
     pub(super) fn send_notices(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         if self.placement.is_some() {
             let news =
-                self.notices_due || self.view.version(TableScope::Everywhere) != self.notified;
+                self.notices_due || self.view.version(TableRange::Everywhere) != self.notified;
             if !news && now < self.next_notices {
                 return;
             }
             self.notices_due = false;
-            self.notified = self.view.version(TableScope::Everywhere);
+            self.notified = self.view.version(TableRange::Everywhere);
             self.next_notices = now.after(NOTICE_ROUND);
             self.send_leader_notices(now, effects);
             self.send_digests(now, effects);
@@ -44,17 +46,17 @@
 
     fn send_leader_notices(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         let members: Vec<HostStamp> =
-            self.members.in_zone(&self.me.zone, &self.me.name).cloned().collect();
+            self.members.in_scope(&self.me.scope, &self.me.name).cloned().collect();
         let names: BTreeSet<&str> = members.iter().map(|stamp| stamp.name.as_str()).collect();
         self.member_links.retain(|name, _| names.contains(name.as_str()));
         // A leader without authority still tells what it knows: routing must go on.
         let epoch = self.placement.as_ref().map_or(0, |placement| placement.epoch);
         for stamp in members {
             let mut link = self.member_links.remove(&stamp.name).unwrap_or_default();
-            let behind = link.is_behind(&self.view, TableScope::Everywhere);
+            let behind = link.is_behind(&self.view, TableRange::Everywhere);
             if link.is_due(now, self.timing.notice_pause, self.timing.heartbeat, behind) {
-                let scope = TableScope::Everywhere;
-                let update = self.view.update_for(&self.catalog, scope, link.ack);
+                let range = TableRange::Everywhere;
+                let update = self.view.update_for(&self.catalog, range, link.ack);
                 link.sent = Some(update.version);
                 let declined = self.declined.iter().filter_map(|asset| self.asset_name(*asset));
                 let notice = LeaderNotice {
@@ -91,15 +93,15 @@
         let notice = DemandNotice {
             epoch: leader.epoch,
             revision: self.catalog.revision,
-            ack: self.view.ack(&self.me.zone),
+            ack: self.view.ack(&self.me.scope),
             demand: self.demand_rows(now),
-            used: used.into_iter().filter_map(|asset| self.asset_name(asset)).collect(),
+            used: to_rows(&self.catalog, used),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
         };
         effects.push(HostEffect::send(leader.stamp, PeerMessage::Demand(notice)));
     }
 
-    /// A leader tells its zone.
+    /// A leader tells its scope.
     pub(super) fn leader_notice(
         &mut self,
         now: Moment,
@@ -108,7 +110,7 @@
         effects: &mut Vec<HostEffect>,
     ) {
         let known = self.following.as_ref().map_or(0, |leader| leader.epoch);
-        if from.zone != self.me.zone || notice.epoch < known || self.placement.is_some() {
+        if from.scope != self.me.scope || notice.epoch < known || self.placement.is_some() {
             return;
         }
         let same = self.following.as_ref().is_some_and(|leader| leader.stamp == from);
@@ -118,8 +120,8 @@
         self.following =
             Some(LeaderContact { stamp: from.clone(), epoch: notice.epoch, heard: now });
         self.declined = self.known_assets(&notice.declined);
-        let zone = from.zone.clone();
-        self.apply_update(now, &zone, TableScope::Everywhere, &notice.update, effects);
+        let scope = from.scope.clone();
+        self.apply_update(now, &scope, TableRange::Everywhere, &notice.update, effects);
         self.compare_revisions(now, &from, notice.revision, effects);
     }
 
@@ -136,14 +138,14 @@
     pub(super) fn apply_update(
         &mut self,
         now: Moment,
-        zone: &str,
-        scope: TableScope,
+        scope: &str,
+        range: TableRange,
         update: &TableUpdate,
         effects: &mut Vec<HostEffect>,
     ) {
-        self.leader_link.dirty |= self.view.ack(zone).version != update.version;
-        self.view.mark_heard(zone, now);
-        if let ViewChange::Applied(ready) = self.view.apply(&self.catalog, zone, scope, update) {
+        self.leader_link.dirty |= self.view.ack(scope).version != update.version;
+        self.view.mark_heard(scope, now);
+        if let ViewChange::Applied(ready) = self.view.apply(&self.catalog, scope, range, update) {
             for asset in ready {
                 self.pump(now, RequestTarget::Asset(asset), effects);
             }
@@ -174,7 +176,7 @@
         effects: &mut Vec<HostEffect>,
     ) {
         self.compare_revisions(now, &from, notice.revision, effects);
-        if from.zone != self.me.zone || self.placement.is_none() {
+        if from.scope != self.me.scope || self.placement.is_none() {
             return;
         }
         let link = self.member_links.entry(from.name.clone()).or_default();
@@ -184,14 +186,14 @@
         // A host with an older configuration learns of the newer one by the next notice.
         link.dirty |= notice.revision < self.catalog.revision;
         self.notices_due |= link.dirty || !notice.demand.is_empty();
-        let used = self.known_assets(&notice.used);
+        let used = from_rows(&self.catalog, &notice.used);
         self.note_neighbour_use(&used);
         let suspects: Vec<_> =
             notice.suspects.iter().filter_map(|name| self.catalog.upstream_named(name)).collect();
         self.with_placement(now, effects, |placement, context| {
             placement.hosts.replace(now, context.catalog, &from.name, &notice.demand);
-            for asset in used {
-                placement.used(context, asset);
+            for (asset, count) in used {
+                placement.used(context, asset, count.requests, count.tokens);
             }
             for upstream in suspects {
                 placement.suspect(now, upstream);
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -46,6 +46,7 @@
 use super::calls::CallLedger;
 use super::links::PeerLink;
 use super::neighbours::NeighbourLink;
+use super::uses::UseCounts;
 
 /// Time without any event, ticks included, that only a frozen process knows.
 const FREEZE: Duration = Duration::from_secs(1);
@@ -91,19 +92,19 @@
     /// Present while this process holds the lease, lapsed or not.
     pub(super) placement: Option<PlacementState>,
     pub(super) following: Option<LeaderContact>,
-    /// The leader's messages to the hosts of its zone, by name.
+    /// The leader's messages to the hosts of its scope, by name.
     pub(super) member_links: BTreeMap<String, PeerLink>,
-    /// The leader's messages to the leaders of other zones, by zone.
+    /// The leader's messages to the leaders of other scopes, by scope.
     pub(super) neighbours: BTreeMap<String, NeighbourLink>,
     /// This host's messages to its leader.
     pub(super) leader_link: PeerLink,
-    /// Assets used since the last message to the leader.
-    pub(super) used: BTreeSet<AssetKey>,
+    /// Requests that arrived since the last message to the leader.
+    pub(super) used: UseCounts,
     /// Upstreams that did not hold what the placement says.
     pub(super) suspects: BTreeSet<UpstreamKey>,
     /// Assets refused as too late, wanted until the moment given for callers who come back.
     pub(super) wanted_until: BTreeMap<AssetKey, Moment>,
-    /// Assets that no zone can place, as the leader last told.
+    /// Assets that no scope can place, as the leader last told.
     pub(super) declined: BTreeSet<AssetKey>,
     /// Upstreams that registered themselves, by name, as last told.
     pub(super) registered: BTreeMap<String, RegisteredUpstream>,
@@ -111,7 +112,7 @@
     pub(super) next_configuration_ask: Moment,
     pub(super) next_sweep: Moment,
     pub(super) draining: bool,
-    /// Something must be told to hosts or zones at the next tick.
+    /// Something must be told to hosts or scopes at the next tick.
     pub(super) notices_due: bool,
     /// Version of the table at the last round of notices.
     pub(super) notified: u64,
@@ -154,7 +155,7 @@
             member_links: BTreeMap::new(),
             neighbours: BTreeMap::new(),
             leader_link: PeerLink::default(),
-            used: BTreeSet::new(),
+            used: UseCounts::new(),
             suspects: BTreeSet::new(),
             wanted_until: BTreeMap::new(),
             declined: BTreeSet::new(),
@@ -191,7 +192,7 @@
             HostEvent::AttemptEnded(request, attempt, outcome) => {
                 self.attempt_ended(now, request, attempt, outcome, effects);
             }
-            HostEvent::Peer(envelope) => self.peer(now, envelope, effects),
+            HostEvent::Peer(envelope) => self.peer(now, *envelope, effects),
             HostEvent::Store(id, outcome) => self.store_answered(now, id, outcome, effects),
             HostEvent::Order(key, outcome) => {
                 self.with_placement(now, effects, |placement, context| {
@@ -207,6 +208,7 @@
                     self.configuration_changed(now, effects);
                 }
             }
+            HostEvent::Members(hosts) => self.members.apply_members(&hosts),
             HostEvent::Registry(changes) => self.registry_changed(now, changes, effects),
             HostEvent::Hosts(asked, hosts) => self.hosts_listed(now, asked, &hosts, effects),
             HostEvent::Drain => {
@@ -266,11 +268,11 @@
         match envelope.message {
             PeerMessage::Leader(notice) => self.leader_notice(now, from, notice, effects),
             PeerMessage::Demand(notice) => self.demand_notice(now, from, notice, effects),
-            PeerMessage::Digest(digest) => self.zone_digest(now, from, digest, effects),
+            PeerMessage::Digest(digest) => self.scope_digest(now, from, digest, effects),
             PeerMessage::LeaderHint { leader } => self.leader_hint(leader),
             PeerMessage::LeaderEnded { epoch } => self.leader_ended(&from, epoch),
             PeerMessage::PromiseAsk { epoch, version, round } => {
-                let allowed = from.zone == self.me.zone;
+                let allowed = from.scope == self.me.scope;
                 self.with_lease(now, effects, |lease, context| {
                     if allowed {
                         lease.promise_asked(context, from, epoch, version, round);
@@ -383,7 +385,7 @@
         let authority = self.lease.authority(now).filter(|(epoch, _)| *epoch == placement.epoch);
         let mut context = PlacementContext {
             now,
-            zone: &self.me.zone,
+            scope: &self.me.scope,
             catalog: &self.catalog,
             members: &self.members,
             timing: &self.timing,
@@ -404,13 +406,13 @@
         let used = std::mem::take(&mut self.used);
         let suspects = std::mem::take(&mut self.suspects);
         let name = self.me.name.clone();
-        let zone = self.me.zone.clone();
-        self.view.mark_heard(&zone, now);
+        let scope = self.me.scope.clone();
+        self.view.mark_heard(&scope, now);
         self.note_neighbour_use(&used);
         self.with_placement(now, effects, |placement, context| {
             placement.hosts.replace(now, context.catalog, &name, &demand);
-            for asset in used {
-                placement.used(context, asset);
+            for (asset, count) in used {
+                placement.used(context, asset, count.requests, count.tokens);
             }
             for upstream in suspects {
                 placement.suspect(now, upstream);
@@ -428,7 +430,7 @@
         let held = self.lease.held_epoch();
         if let (None, true, Some(placement)) = (held, self.draining, &self.placement) {
             let epoch = placement.epoch;
-            for stamp in self.members.in_zone(&self.me.zone, &self.me.name) {
+            for stamp in self.members.in_scope(&self.me.scope, &self.me.name) {
                 let message = PeerMessage::LeaderEnded { epoch };
                 effects.push(HostEffect::send(stamp.clone(), message));
             }
@@ -437,7 +439,7 @@
         self.notices_due = true;
         self.neighbours.clear();
         if held.is_some() {
-            self.view.start_leading(&self.catalog, &self.me.zone);
+            self.view.start_leading(&self.catalog, &self.me.scope);
         }
         self.placement = held.map(|epoch| PlacementState::new(now, epoch));
         if let Some(epoch) = held {
@@ -446,11 +448,12 @@
         } else if self.following.as_ref().is_some_and(|leader| leader.stamp == self.me) {
             self.following = None;
         }
+        self.replay_published(now, effects);
         let reason = if held.is_some() { "lease taken" } else { "lease lost" };
         effects.push(HostEffect::Note(DecisionNote {
             kind: DecisionKind::Lead,
             ticket: None,
-            subject: self.me.zone.clone(),
+            subject: self.me.scope.clone(),
             choice: format!("epoch {}", held.unwrap_or(0)),
             reason,
             alternatives: 0,
@@ -476,7 +479,7 @@
             reason: "newer revision accepted",
             alternatives: 0,
         }));
-        self.restore_registered();
+        self.replay_published(now, effects);
         self.view.drop_unknown(&self.catalog);
         self.refuse_removed(effects);
         self.follow_inventory(now, effects);
@@ -488,10 +491,13 @@
     }
 
     fn configuration_tick(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+        let Some(pause) = self.timing.configuration_read else {
+            return;
+        };
         if now < self.next_configuration_read {
             return;
         }
-        self.next_configuration_read = now.after(self.timing.configuration_read);
+        self.next_configuration_read = now.after(pause);
         let alone = self
             .following
             .as_ref()
@@ -501,10 +507,10 @@
         }
     }
 
-    /// Besides the leader one more host of each zone reads the configuration.
+    /// Besides the leader one more host of each scope reads the configuration.
     fn is_standby_reader(&self) -> bool {
         let leader = self.following.as_ref().map_or("", |leader| &leader.stamp.name);
-        let mut others = self.members.in_zone(&self.me.zone, &self.me.name);
+        let mut others = self.members.in_scope(&self.me.scope, &self.me.name);
         !others.any(|stamp| stamp.name != leader && stamp.name < self.me.name)
     }
 }
--- a/components/decisions/src/identity.rs
+++ b/components/decisions/src/identity.rs
@@ -10,6 +10,8 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// Scope of placement: availability zones whose engines one leader loads.
+    pub scope: String,
     /// IP address and port for messages between hosts.
     pub address: String,
     /// Drawn at random at each start.
--- a/components/decisions/src/lease/mod.rs
+++ b/components/decisions/src/lease/mod.rs
@@ -1,4 +1,4 @@
-//! Who leads a zone.
+//! Who leads a scope.
 //!
 //! The lease is a record in the key-value service, renewed by compare-and-swap. Its holder counts
 //! its authority from before a renewal was sent. A rival takes over once it has seen the same
--- a/components/decisions/src/lease/record.rs
+++ b/components/decisions/src/lease/record.rs
@@ -5,7 +5,7 @@
 
 use crate::identity::HostStamp;
 
-/// Value of a zone's lease key.
+/// Value of a scope's lease key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
     /// Who leads.
@@ -32,7 +32,7 @@
     }
 }
 
-/// Key of a zone's lease.
-pub fn lease_key(zone: &str) -> String {
-    format!("lease/{zone}")
+/// Key of a scope's lease.
+pub fn lease_key(scope: &str) -> String {
+    format!("lease/{scope}")
 }
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -1,4 +1,4 @@
-//! Takes, renews, extends and gives up the lease of one zone.
+//! Takes, renews, extends and gives up the lease of one scope.
 
 use std::time::Duration;
 
@@ -55,14 +55,14 @@
 }
 
 impl LeaseContext<'_> {
-    /// Other hosts of the zone heard lately.
+    /// Other hosts of the scope heard lately.
     fn heard(&self) -> Vec<HostStamp> {
         let oldest = self.now.before(self.timing.peer_timeout);
-        self.members.heard_in_zone(&self.me.zone, &self.me.name, oldest)
+        self.members.heard_in_scope(&self.me.scope, &self.me.name, oldest)
     }
 }
 
-/// One process's part in the lease of its zone.
+/// One process's part in the lease of its scope.
 #[derive(Debug, Clone)]
 pub struct LeaseState {
     observed: Option<ObservedRecord>,
@@ -178,7 +178,7 @@
         record: &LeaseRecord,
     ) {
         self.calling = true;
-        let key = lease_key(&context.me.zone);
+        let key = lease_key(&context.me.scope);
         let op = StoreOp::Swap { key, expected, value: record.to_value(), lasting: None };
         context.registry.call(CallPurpose::Lease(call, context.now), op, context.effects);
     }
@@ -206,7 +206,7 @@
         }
         self.next_call = context.now.after(READ_PAUSE);
         self.calling = true;
-        let op = StoreOp::Read { key: lease_key(&context.me.zone) };
+        let op = StoreOp::Read { key: lease_key(&context.me.scope) };
         context.registry.call(
             CallPurpose::Lease(LeaseCall::Read, context.now),
             op,
--- a/components/decisions/src/lease/successor.rs
+++ b/components/decisions/src/lease/successor.rs
@@ -8,7 +8,7 @@
 
 use super::record::LeaseRecord;
 
-/// What this process has promised to the leader of its zone.
+/// What this process has promised to the leader of its scope.
 #[derive(Debug, Clone)]
 pub struct SuccessorState {
     started: Moment,
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -26,8 +26,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct MemberDirectory {
     members: BTreeMap<String, MemberRecord>,
-    /// Names of the members of each zone. Always agrees with `members`.
-    zones: BTreeMap<String, BTreeSet<String>>,
+    /// Names of the members of each scope. Always agrees with `members`.
+    scopes: BTreeMap<String, BTreeSet<String>>,
     /// Upstream names with their listed state; `None` before the list was first read.
     upstreams: Option<BTreeMap<String, ListedState>>,
 }
@@ -35,20 +35,21 @@
 impl MemberDirectory {
     /// Takes in the host list.
     pub fn apply_list(&mut self, hosts: &[ListedHost]) {
+        let upstreams = hosts.iter().filter(|host| host.peer_address.is_empty());
+        self.upstreams = Some(upstreams.map(|host| (host.name.clone(), host.state)).collect());
+        self.apply_members(hosts);
+    }
+
+    /// Takes in all entry hosts that are listed; what is not one is passed over.
+    pub fn apply_members(&mut self, hosts: &[ListedHost]) {
         for record in self.members.values_mut() {
             record.listed = None;
         }
-        let mut upstreams = BTreeMap::new();
-        for host in hosts {
-            if host.peer_address.is_empty() {
-                upstreams.insert(host.name.clone(), host.state);
-            } else {
-                self.apply_member(host);
-            }
+        for host in hosts.iter().filter(|host| !host.peer_address.is_empty()) {
+            self.apply_member(host);
         }
-        self.upstreams = Some(upstreams);
         self.members.retain(|_, record| record.listed.is_some() || record.last_heard.is_some());
-        self.index_zones();
+        self.index_scopes();
     }
 
     /// Takes in what the platform says of one upstream; `None` when it is gone.
@@ -65,6 +66,7 @@
             stamp: HostStamp {
                 name: host.name.clone(),
                 zone: host.zone.clone(),
+                scope: host.scope.clone(),
                 address: host.peer_address.clone(),
                 incarnation: 0,
             },
@@ -90,7 +92,7 @@
         }
         record.last_heard = Some(now);
         if moved {
-            self.index_zones();
+            self.index_scopes();
         }
     }
 
@@ -99,44 +101,44 @@
         self.members.retain(|_, record| {
             record.listed.is_some() || record.last_heard.is_some_and(|heard| heard > oldest)
         });
-        self.index_zones();
+        self.index_scopes();
     }
 
-    fn index_zones(&mut self) {
-        self.zones.clear();
+    fn index_scopes(&mut self) {
+        self.scopes.clear();
         for (name, record) in &self.members {
-            let zone = self.zones.entry(record.stamp.zone.clone()).or_default();
-            zone.insert(name.clone());
+            let scope = self.scopes.entry(record.stamp.scope.clone()).or_default();
+            scope.insert(name.clone());
         }
     }
 
-    fn records_in(&self, zone: &str) -> impl Iterator<Item = &MemberRecord> {
-        let names = self.zones.get(zone).into_iter().flatten();
+    fn records_in(&self, scope: &str) -> impl Iterator<Item = &MemberRecord> {
+        let names = self.scopes.get(scope).into_iter().flatten();
         names.filter_map(|name| self.members.get(name))
     }
 
-    /// When any host of `zone` was last heard.
-    pub fn zone_heard(&self, zone: &str) -> Option<Moment> {
-        self.records_in(zone).filter_map(|record| record.last_heard).max()
+    /// When any host of `scope` was last heard.
+    pub fn scope_heard(&self, scope: &str) -> Option<Moment> {
+        self.records_in(scope).filter_map(|record| record.last_heard).max()
     }
 
-    /// Entry hosts of `zone` other than `me` that are listed or were heard.
-    pub fn in_zone<'m>(
+    /// Entry hosts of `scope` other than `me` that are listed or were heard.
+    pub fn in_scope<'m>(
         &'m self,
-        zone: &'m str,
+        scope: &'m str,
         me: &'m str,
     ) -> impl Iterator<Item = &'m HostStamp> + 'm {
-        self.records_in(zone).map(|record| &record.stamp).filter(move |stamp| stamp.name != me)
+        self.records_in(scope).map(|record| &record.stamp).filter(move |stamp| stamp.name != me)
     }
 
-    /// Entry hosts of `zone` that were heard since `oldest`, live by the list or not listed yet.
-    pub fn heard_in_zone(&self, zone: &str, me: &str, oldest: Moment) -> Vec<HostStamp> {
+    /// Entry hosts of `scope` that were heard since `oldest`, live by the list or not listed yet.
+    pub fn heard_in_scope(&self, scope: &str, me: &str, oldest: Moment) -> Vec<HostStamp> {
         let live = |record: &&MemberRecord| {
             record.listed != Some(ListedState::Leaving)
                 && record.stamp.name != me
                 && record.last_heard.is_some_and(|heard| heard >= oldest)
         };
-        self.records_in(zone).filter(live).map(|record| record.stamp.clone()).collect()
+        self.records_in(scope).filter(live).map(|record| record.stamp.clone()).collect()
     }
 
     /// Whether the upstream may get new work.
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -67,26 +67,33 @@
     /// Requests waiting.
     #[serde(rename = "n")]
     pub waiting: u32,
+    /// Best rank among them.
+    #[serde(rename = "p", default)]
+    pub rank: u8,
     /// Time left to the earliest deadline, in milliseconds.
     #[serde(rename = "d")]
     pub slack_ms: u64,
 }
 
-/// A leader to the hosts of its zone.
+/// Requests for one asset since the last message: unique name, requests, tokens of their prompts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseRow(pub String, pub u32, pub u64);
+
+/// A leader to the hosts of its scope.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderNotice {
     /// Epoch of the lease.
     pub epoch: u64,
     /// Configuration revision in force at the sender.
     pub revision: u64,
-    /// Placement changes of all zones.
+    /// Placement changes of all scopes.
     pub update: TableUpdate,
-    /// Assets that no zone can place now, as far as the leader knows.
+    /// Assets that no scope can place now, as far as the leader knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub declined: Vec<String>,
 }
 
-/// A host to the leader of its zone: its whole demand, never an increment.
+/// A host to the leader of its scope: its whole demand, never an increment.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandNotice {
     /// Epoch of the leader it is meant for.
@@ -98,17 +105,17 @@
     /// Everything that waits.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<DemandRow>,
-    /// Assets used since the last notice.
+    /// Requests that arrived at the sender since the last notice.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub used: Vec<String>,
+    pub used: Vec<UseRow>,
     /// Upstreams whose state differed from the placement.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<String>,
 }
 
-/// A leader to the leader of another zone.
+/// A leader to the leader of another scope.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ZoneDigest {
+pub struct ScopeDigest {
     /// Epoch of the sender's lease.
     pub epoch: u64,
     /// Configuration revision in force at the sender.
@@ -117,12 +124,12 @@
     pub update: TableUpdate,
     /// What the sender has applied of the receiver's placement.
     pub ack: TableAck,
-    /// The zone's demand for assets that the receiver should place.
+    /// The scope's demand for assets that the receiver should place.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<DemandRow>,
-    /// Assets used by the sender's zone on the receiver's engines.
+    /// Requests that arrived in the sender's scope since the last digest.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub used: Vec<String>,
+    pub used: Vec<UseRow>,
     /// Assets that the sender cannot place now.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub declined: Vec<String>,
@@ -131,18 +138,18 @@
 /// Any message between entry hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// A leader to the hosts of its zone.
+    /// A leader to the hosts of its scope.
     Leader(LeaderNotice),
     /// A host to its leader.
     Demand(DemandNotice),
-    /// A leader to another zone's leader.
-    Digest(ZoneDigest),
+    /// A leader to another scope's leader.
+    Digest(ScopeDigest),
     /// Answer to a digest from a host that does not lead.
     LeaderHint {
         /// The leader that the sender follows, and its epoch; `None` while there is none.
         leader: Option<(HostStamp, u64)>,
     },
-    /// A leader gave its lease up: a host of its zone may take over at once.
+    /// A leader gave its lease up: a host of its scope may take over at once.
     LeaderEnded {
         /// Epoch of the lease.
         epoch: u64,
--- a/components/decisions/src/order.rs
+++ b/components/decisions/src/order.rs
@@ -64,6 +64,8 @@
     pub upstream: UpstreamKey,
     /// Fencing token, see [`fencing_token`].
     pub token: u64,
+    /// Orders the engine must have accepted before, where it counts them.
+    pub expected: Option<u64>,
     /// What to do.
     pub kind: OrderKind,
     /// The order must not be written to a socket after this moment.
@@ -91,15 +93,45 @@
     pub state: HeldState,
 }
 
+/// What an engine says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct EngineListing {
+    /// Everything held.
+    pub held: Vec<HeldAsset>,
+    /// Orders accepted so far, where the engine counts them.
+    pub sequence: Option<u64>,
+    /// Whether a load or unload of a model is in progress that `held` does not show.
+    pub busy: bool,
+    /// Models whose weights lie in its host memory or on its disk, where it says.
+    pub copies: Option<WeightCopies>,
+}
+
+/// Models whose weights an engine has a copy of, by unique name.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct WeightCopies {
+    /// In its host memory.
+    pub in_memory: Vec<String>,
+    /// On its disk.
+    pub on_disk: Vec<String>,
+}
+
 /// How an order ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderOutcome {
     /// Carried out; lists everything held afterwards.
-    Accepted(Vec<HeldAsset>),
+    Accepted(EngineListing),
     /// Not carried out; lists everything held.
-    Refused(Vec<HeldAsset>),
+    Refused(EngineListing),
+    /// Accepted; it is being carried out.
+    Started,
+    /// What it asks for holds already.
+    Unchanged,
+    /// Not carried out: the engine is busy, or has accepted another order meanwhile.
+    Conflict,
     /// Not carried out: a larger token has been seen.
     StaleToken,
+    /// Not carried out: the address belongs to another upstream now.
+    Gone,
     /// Never left this process.
     NotSent,
     /// No answer: it may have been, or may yet be, carried out.
--- a/components/decisions/src/placement/budget.rs
+++ b/components/decisions/src/placement/budget.rs
@@ -1,4 +1,4 @@
-//! This zone's share of the weight store's rates.
+//! This scope's share of the weight store's rates.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 
 use crate::time::Moment;
 
-/// Paces load orders. The shares of all zones sum to the deployment's limits.
+/// Paces load orders. The shares of all scopes sum to the deployment's limits.
 #[derive(Debug, Clone, Default)]
 pub struct LoadBudget {
     /// Load starts are paced as if the last one had been at this moment.
@@ -14,27 +14,27 @@
 }
 
 impl LoadBudget {
-    /// Model loads that may be under way at once in this zone.
+    /// Model loads that may be under way at once in this scope.
     pub fn concurrent(catalog: &InventoryCatalog) -> usize {
-        let zones = catalog.zones.len().max(1);
-        (catalog.rules.store_concurrent_loads as usize / zones).max(1)
+        let scopes = catalog.scopes.len().max(1);
+        (catalog.rules.store_concurrent_loads as usize / scopes).max(1)
     }
 
-    /// Adapter loads that may be under way at once in this zone.
+    /// Adapter loads that may be under way at once in this scope.
     pub fn adapters(catalog: &InventoryCatalog) -> usize {
-        let zones = catalog.zones.len().max(1);
-        (catalog.rules.adapters_in_flight as usize / zones).max(1)
+        let scopes = catalog.scopes.len().max(1);
+        (catalog.rules.adapters_in_flight as usize / scopes).max(1)
     }
 
     fn interval(catalog: &InventoryCatalog) -> Duration {
-        let zones = catalog.zones.len().max(1) as u32;
-        Duration::from_secs(1) * zones / catalog.rules.store_loads_per_second.max(1)
+        let scopes = catalog.scopes.len().max(1) as u32;
+        Duration::from_secs(1) * scopes / catalog.rules.store_loads_per_second.max(1)
     }
 
     /// Takes one model load out of the rate; false when it must wait.
     pub fn take(&mut self, now: Moment, catalog: &InventoryCatalog) -> bool {
         let interval = Self::interval(catalog);
-        // An idle zone keeps credit for as many loads as it may run at once.
+        // An idle scope keeps credit for as many loads as it may run at once.
         let credit = interval * Self::concurrent(catalog) as u32;
         let next = self.paced.max(now.before(credit)).after(interval);
         if next > now {
--- a/components/decisions/src/placement/demand.rs
+++ b/components/decisions/src/placement/demand.rs
@@ -1,4 +1,4 @@
-//! What waits for replicas, as hosts and other zones last told.
+//! What waits for replicas, as hosts and other scopes last told.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,6 +14,8 @@
 pub struct AssetDemand {
     /// Requests waiting.
     pub waiting: u32,
+    /// Best rank among them.
+    pub rank: u8,
     /// Earliest deadline among them.
     pub earliest: Moment,
 }
@@ -37,7 +39,8 @@
         for row in rows {
             if let Some(asset) = catalog.asset_named(&row.asset) {
                 let earliest = now.after(Duration::from_millis(row.slack_ms));
-                demand.insert(asset, AssetDemand { waiting: row.waiting, earliest });
+                let entry = AssetDemand { waiting: row.waiting, rank: row.rank, earliest };
+                demand.insert(asset, entry);
             }
         }
         self.senders.insert(sender.to_owned(), (now, demand));
@@ -48,6 +51,16 @@
         self.senders.values().any(|(_, rows)| !rows.is_empty())
     }
 
+    /// Whether anything waits for `asset`.
+    pub fn wants(&self, asset: AssetKey) -> bool {
+        self.senders.values().any(|(_, rows)| rows.contains_key(&asset))
+    }
+
+    /// Whether anything waits for an asset that `matches`.
+    pub fn wants_any(&self, matches: impl Fn(AssetKey) -> bool) -> bool {
+        self.senders.values().any(|(_, rows)| rows.keys().any(|asset| matches(*asset)))
+    }
+
     /// Forgets senders not heard since `oldest`.
     pub fn forget_before(&mut self, oldest: Moment) {
         self.senders.retain(|_, (heard, _)| *heard >= oldest);
@@ -60,17 +73,23 @@
             let Some(record) = catalog.assets.get(*asset) else {
                 continue;
             };
-            add(&mut total, *asset, *demand);
+            add_demand(&mut total, *asset, *demand);
             if let Some(base) = record.base {
-                add(&mut total, base, *demand);
+                add_demand(&mut total, base, *demand);
             }
         }
         total
     }
 }
 
-fn add(total: &mut BTreeMap<AssetKey, AssetDemand>, asset: AssetKey, demand: AssetDemand) {
-    let sum = total.entry(asset).or_insert(AssetDemand { waiting: 0, earliest: demand.earliest });
+/// Adds demand for an asset to what is known of it.
+pub fn add_demand(
+    total: &mut BTreeMap<AssetKey, AssetDemand>,
+    asset: AssetKey,
+    demand: AssetDemand,
+) {
+    let sum = total.entry(asset).or_insert(AssetDemand { waiting: 0, ..demand });
     sum.waiting += demand.waiting;
+    sum.rank = sum.rank.min(demand.rank);
     sum.earliest = sum.earliest.min(demand.earliest);
 }
--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -1,27 +1,32 @@
 //! What the leader knows of one engine.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use wagtailledge_inventory::AssetKey;
 use wagtailledge_inventory::InventoryCatalog;
 
 use crate::message::ReplicaState;
-use crate::order::HeldAsset;
+use crate::order::EngineListing;
 use crate::order::HeldState;
 use crate::order::OrderKey;
+use crate::order::OrderKind;
+use crate::order::WeightCopies;
 use crate::time::Moment;
 
 /// Claims lost in a row that make an engine unusable until it answers.
 const SUSPECT_MISSES: u32 = 2;
+/// What an engine publishes may be older than this.
+pub const LISTING_LAG: Duration = Duration::from_secs(3);
 
 /// Where a replica stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplicaPhase {
     /// Its load order may have been sent.
     Ordered,
-    /// The engine loads it.
-    Loading,
+    /// The engine loads it; expected to be done at the moment given, where that is known.
+    Loading(Option<Moment>),
     /// It serves.
     Ready,
     /// Routers were told to stop; the unload order is due at the moment given.
@@ -44,32 +49,65 @@
 }
 
 /// The order an engine has not answered yet. There is never more than one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenOrder {
     /// The order.
     pub key: OrderKey,
+    /// What it asks for.
+    pub kind: OrderKind,
     /// The asset to be loaded or unloaded; `None` for a claim.
     pub asset: Option<AssetKey>,
 }
 
+/// Models whose weights an engine has a copy of.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CopySet {
+    /// In its host memory.
+    pub memory: BTreeSet<AssetKey>,
+    /// On its disk.
+    pub disk: BTreeSet<AssetKey>,
+}
+
+impl CopySet {
+    fn new(catalog: &InventoryCatalog, copies: &WeightCopies) -> Self {
+        let known =
+            |names: &[String]| names.iter().filter_map(|name| catalog.asset_named(name)).collect();
+        Self { memory: known(&copies.in_memory), disk: known(&copies.on_disk) }
+    }
+}
+
 /// What the leader knows of one engine.
 #[derive(Debug, Clone, Default)]
 pub struct EngineState {
-    /// It has answered a claim of this epoch, so `replicas` and `foreign` list all it can hold.
+    /// It has said what it holds since this term began, so `replicas` and `foreign` list all it
+    /// can hold.
     pub claimed: bool,
+    /// Orders it has accepted, where it counts them. Grows with each one that it accepts from this
+    /// leader, so that an order which was overtaken is refused.
+    pub sequence: Option<u64>,
     /// Replicas that it holds or may hold.
     pub replicas: BTreeMap<AssetKey, ReplicaEntry>,
     /// Assets it holds that the configuration does not name, with their bytes.
     pub foreign: BTreeMap<String, u64>,
+    /// Weights it has copies of, where it says.
+    pub copies: CopySet,
     /// The order not answered yet.
     pub open: Option<OpenOrder>,
+    /// An order that was not answered, to be sent again: until then it may still be carried out.
+    pub lost: Option<(OrderKind, AssetKey)>,
     /// Grows with each lost order, so that an engine that checks tokens refuses it afterwards.
     pub term: u64,
     /// After a lost order no listing before this moment is final.
     pub settle_at: Option<Moment>,
+    /// When it last accepted an order, or said something new when asked.
+    pub changed: Moment,
     /// When to claim it next.
     pub next_claim: Moment,
-    /// Claims lost in a row.
+    /// No order about a model before this moment.
+    pub next_order: Moment,
+    /// Orders refused in a row because the engine was busy or not in the state expected.
+    pub conflicts: u32,
+    /// Claims and orders lost in a row.
     pub misses: u32,
 }
 
@@ -86,6 +124,13 @@
         replicas + self.foreign.values().sum::<u64>()
     }
 
+    /// Memory that is reserved once the unloads under way have ended, in bytes.
+    pub fn reserved_after_unloads(&self) -> u64 {
+        let ending = |replica: &&ReplicaEntry| replica.phase == ReplicaPhase::Unloading;
+        let freed: u64 = self.replicas.values().filter(ending).map(|replica| replica.bytes).sum();
+        self.reserved() - freed
+    }
+
     /// Whether it stopped answering.
     pub fn is_suspect(&self) -> bool {
         self.misses >= SUSPECT_MISSES
@@ -93,7 +138,8 @@
 
     /// Whether a load or unload may be ordered now.
     pub fn takes_orders(&self) -> bool {
-        self.claimed && self.open.is_none() && self.settle_at.is_none() && !self.is_suspect()
+        let settled = self.settle_at.is_none() && self.lost.is_none();
+        self.claimed && self.open.is_none() && settled && !self.is_suspect()
     }
 
     /// Whether it may hold `asset`.
@@ -103,8 +149,27 @@
 
     /// Whether anything is being loaded.
     pub fn is_loading(&self) -> bool {
-        let loading = |phase| matches!(phase, ReplicaPhase::Ordered | ReplicaPhase::Loading);
-        self.replicas.values().any(|replica| loading(replica.phase))
+        self.replicas.values().any(|replica| is_coming(replica.phase))
+    }
+
+    /// Whether a model is being loaded: the engine then takes no other order about a model.
+    pub fn is_loading_model(&self, catalog: &InventoryCatalog) -> bool {
+        self.replicas.iter().any(|(asset, replica)| {
+            let model = catalog.assets.get(*asset).is_none_or(|record| record.base.is_none());
+            model && is_coming(replica.phase)
+        })
+    }
+
+    /// Adapters held, being loaded or being unloaded.
+    pub fn adapters<'e>(
+        &'e self,
+        catalog: &'e InventoryCatalog,
+    ) -> impl Iterator<Item = (AssetKey, &'e ReplicaEntry)> + 'e {
+        let adapter = |asset: &AssetKey| {
+            catalog.assets.get(*asset).is_some_and(|record| record.base.is_some())
+        };
+        let all = self.replicas.iter().filter(move |(asset, _)| adapter(asset));
+        all.map(|(asset, replica)| (*asset, replica))
     }
 
     /// Whether an adapter on `base` is held or being loaded.
@@ -115,27 +180,55 @@
         self.replicas.keys().any(on_base)
     }
 
+    /// Replicas that become ready by `now`, as far as is known; marks them ready.
+    pub fn mature(&mut self, now: Moment) -> Vec<AssetKey> {
+        let mut ready = Vec::new();
+        for (asset, replica) in &mut self.replicas {
+            if matches!(replica.phase, ReplicaPhase::Loading(Some(due)) if due <= now) {
+                replica.phase = ReplicaPhase::Ready;
+                replica.since = now;
+                ready.push(*asset);
+            }
+        }
+        ready
+    }
+
+    /// When the next replica is expected to become ready.
+    pub fn next_ready(&self) -> Option<Moment> {
+        let due = |replica: &ReplicaEntry| match replica.phase {
+            ReplicaPhase::Loading(due) => due,
+            _ => None,
+        };
+        self.replicas.values().filter_map(due).min()
+    }
+
     /// Takes in a final listing. Returns how long loads that have just ended took.
     pub fn apply_listing(
         &mut self,
         now: Moment,
         catalog: &InventoryCatalog,
-        held: &[HeldAsset],
+        listing: &EngineListing,
     ) -> Vec<(AssetKey, Duration)> {
-        let old = std::mem::take(&mut self.replicas);
-        self.foreign.clear();
         self.claimed = true;
         self.misses = 0;
         self.settle_at = None;
+        self.sequence = listing.sequence;
+        if let Some(copies) = &listing.copies {
+            self.copies = CopySet::new(catalog, copies);
+        }
+        let old = std::mem::take(&mut self.replicas);
+        self.foreign.clear();
         let mut loads = Vec::new();
-        for item in held {
+        for item in &listing.held {
             let Some(asset) = catalog.asset_named(&item.asset) else {
                 self.foreign.insert(item.asset.clone(), item.bytes);
                 continue;
             };
             let before = old.get(&asset).copied();
-            let entry = listed_entry(now, item, before);
-            let was_loading = before.filter(|before| before.phase == ReplicaPhase::Loading);
+            let bytes = item.bytes.max(catalog.assets[asset].bytes);
+            let entry = listed_entry(now, item.state, bytes, before);
+            let was_loading =
+                before.filter(|before| matches!(before.phase, ReplicaPhase::Loading(_)));
             if let (Some(before), ReplicaPhase::Ready) = (was_loading, entry.phase) {
                 loads.push((asset, now.since(before.since)));
             }
@@ -144,11 +237,47 @@
         loads
     }
 
+    /// Takes in what the engine published of itself, which may be out of date. Returns whether
+    /// that changed anything.
+    pub fn apply_published(
+        &mut self,
+        now: Moment,
+        catalog: &InventoryCatalog,
+        listing: &EngineListing,
+    ) -> bool {
+        if let Some(copies) = &listing.copies {
+            self.copies = CopySet::new(catalog, copies);
+        }
+        if !self.claimed {
+            return false;
+        }
+        let held = listing.held.iter();
+        let listed: BTreeSet<AssetKey> =
+            held.filter_map(|item| catalog.asset_named(&item.asset)).collect();
+        let before = self.summary();
+        for (asset, replica) in &mut self.replicas {
+            if listed.contains(asset) && matches!(replica.phase, ReplicaPhase::Loading(_)) {
+                *replica = ReplicaEntry { phase: ReplicaPhase::Ready, since: now, ..*replica };
+            }
+        }
+        // Right after an order the engine may have published what was before it.
+        if self.changed <= now.before(LISTING_LAG) && self.open.is_none() && self.lost.is_none() {
+            self.replicas.retain(|asset, _| listed.contains(asset));
+            for asset in listed {
+                let bytes = catalog.assets[asset].bytes;
+                let phase = ReplicaPhase::Ready;
+                let entry = ReplicaEntry { phase, bytes, since: now, used: now };
+                self.replicas.entry(asset).or_insert(entry);
+            }
+        }
+        self.summary() != before
+    }
+
     /// State of `asset` for routers; `None` when it is not there.
     pub fn published(&self, asset: AssetKey, accepts: bool) -> Option<ReplicaState> {
         let replica = self.replicas.get(&asset)?;
         let state = match replica.phase {
-            ReplicaPhase::Ordered | ReplicaPhase::Loading => ReplicaState::Loading,
+            ReplicaPhase::Ordered | ReplicaPhase::Loading(_) => ReplicaState::Loading,
             ReplicaPhase::Ready if accepts => ReplicaState::Ready,
             ReplicaPhase::Ready | ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading => {
                 ReplicaState::Retiring
@@ -158,21 +287,29 @@
     }
 }
 
-fn listed_entry(now: Moment, item: &HeldAsset, before: Option<ReplicaEntry>) -> ReplicaEntry {
-    let phase = match (item.state, before.map(|entry| entry.phase)) {
+/// Whether a replica in this phase is on its way.
+pub fn is_coming(phase: ReplicaPhase) -> bool {
+    matches!(phase, ReplicaPhase::Ordered | ReplicaPhase::Loading(_))
+}
+
+fn listed_entry(
+    now: Moment,
+    state: HeldState,
+    bytes: u64,
+    before: Option<ReplicaEntry>,
+) -> ReplicaEntry {
+    let phase = match (state, before.map(|entry| entry.phase)) {
         (HeldState::Ready, Some(ReplicaPhase::Retiring(due))) => ReplicaPhase::Retiring(due),
         (HeldState::Ready, _) => ReplicaPhase::Ready,
-        (HeldState::Loading, _) => ReplicaPhase::Loading,
+        (HeldState::Loading, Some(loading @ ReplicaPhase::Loading(_))) => loading,
+        (HeldState::Loading, _) => ReplicaPhase::Loading(None),
     };
-    match before {
-        Some(entry) => {
-            let since = if entry.phase == phase || entry.phase == ReplicaPhase::Ordered {
-                entry.since
-            } else {
-                now
-            };
-            ReplicaEntry { phase, bytes: item.bytes.max(entry.bytes), since, used: entry.used }
-        }
-        None => ReplicaEntry { phase, bytes: item.bytes, since: now, used: now },
-    }
+    let Some(entry) = before else {
+        return ReplicaEntry { phase, bytes, since: now, used: now };
+    };
+    let goes_on = entry.phase == phase
+        || entry.phase == ReplicaPhase::Ordered
+        || (is_coming(entry.phase) && is_coming(phase));
+    let since = if goes_on { entry.since } else { now };
+    ReplicaEntry { phase, bytes: bytes.max(entry.bytes), since, used: entry.used }
 }
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -1,6 +1,5 @@
 //! Which replicas to load and which to unload.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -13,62 +12,73 @@
 use crate::time::Moment;
 
 use super::budget::LoadBudget;
+use super::choose::PlaceChoice;
 use super::demand::AssetDemand;
+use super::demand::add_demand;
 use super::engine::EngineState;
 use super::engine::ReplicaEntry;
 use super::engine::ReplicaPhase;
+use super::engine::is_coming;
 use super::state::PlacementContext;
 use super::state::PlacementState;
 
 /// Waiting requests that one more replica is worth.
 const WAITING_PER_REPLICA: u32 = 64;
-/// A replica used more recently than this is not evicted for another.
-const EVICTION_IDLE: Duration = Duration::from_secs(5);
 /// Least time between two plans while something waits.
 const PLAN_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two plans while nothing waits.
 const IDLE_PLAN: Duration = Duration::from_millis(500);
 
-/// Where an asset could go.
-enum PlaceChoice {
-    /// There is room on this engine; counts the other engines with room.
-    Room(UpstreamKey, usize),
-    /// Room must be made there by unloading these, all of them idle.
-    Evict(UpstreamKey, Vec<AssetKey>),
-    /// Nothing can be done now, but something under way may change that.
-    Wait,
-    /// No engine can take it.
-    Nowhere,
-}
-
 impl PlacementState {
     /// Plans and sends orders, if it is time to.
     pub fn plan(&mut self, context: &mut PlacementContext<'_>) {
+        self.mature(context);
         self.send_claims(context);
         if context.now < self.next_plan || context.valid_until.is_none() {
             return;
         }
-        let urgent = self.hosts.has_any() || self.zones.has_any();
+        let urgent = self.hosts.has_any() || self.scopes.has_any();
         self.next_plan = context.now.after(if urgent { PLAN_PAUSE } else { IDLE_PLAN });
         self.update_reach(context);
         let oldest = context.now.before(context.timing.peer_timeout);
         self.hosts.forget_before(oldest);
-        self.zones.forget_before(oldest);
+        self.scopes.forget_before(oldest);
         let wanted = self.wanted(context);
         self.retire_idle(context, &wanted);
         self.unload_retired(context);
         self.unload_foreign(context);
         self.load_wanted(context, wanted);
+        self.grow_replicas(context);
         self.publish_all(context);
     }
 
-    /// Demand that this zone should meet: its own and what others hand on.
+    /// Marks replicas ready whose load has ended by now.
+    fn mature(&mut self, context: &mut PlacementContext<'_>) {
+        let mut changed = Vec::new();
+        for (key, engine) in &mut self.engines {
+            if !engine.mature(context.now).is_empty() {
+                changed.push(key);
+            }
+        }
+        for key in changed {
+            self.next_plan = context.now;
+            self.publish(context, key);
+        }
+    }
+
+    /// When something is to be done next, if no event comes before.
+    pub fn next_due(&self) -> Moment {
+        let ready = self.engines.values().filter_map(EngineState::next_ready).min();
+        let claims = self.engines.values().map(|engine| engine.next_claim).min();
+        let earliest = ready.into_iter().chain(claims).min().unwrap_or(Moment(u64::MAX));
+        earliest.min(self.next_plan)
+    }
+
+    /// Demand that this scope should meet: its own and what others hand on.
     fn wanted(&self, context: &PlacementContext<'_>) -> BTreeMap<AssetKey, AssetDemand> {
-        let mut wanted = self.zones.total(context.catalog);
+        let mut wanted = self.scopes.total(context.catalog);
         for (asset, demand) in self.hosts.total(context.catalog) {
-            let sum = wanted.entry(asset).or_insert(AssetDemand { waiting: 0, ..demand });
-            sum.waiting += demand.waiting;
-            sum.earliest = sum.earliest.min(demand.earliest);
+            add_demand(&mut wanted, asset, demand);
         }
         self.add_standing(context, &mut wanted);
         wanted
@@ -80,31 +90,33 @@
         context: &PlacementContext<'_>,
         wanted: &mut BTreeMap<AssetKey, AssetDemand>,
     ) {
-        let never = Moment(u64::MAX);
+        let earliest = Moment(u64::MAX);
         for asset in context.catalog.standing() {
             let record = &context.catalog.assets[*asset];
             let versions = context.catalog.versions_of(&record.public_name).iter();
-            let replaces = |other: &AssetKey| other != asset && self.count(context, *other).1 > 0;
+            let replaces = |other: &AssetKey| other != asset && self.useful(context, *other) > 0;
             let rolls = record.state == VersionState::Rolling && versions.into_iter().any(replaces);
             if record.floor > 0 || rolls {
-                wanted.entry(*asset).or_insert(AssetDemand { waiting: 0, earliest: never });
+                let demand = AssetDemand { waiting: 0, rank: record.rank, earliest };
+                wanted.entry(*asset).or_insert(demand);
             }
         }
     }
 
-    /// Replicas that may exist here, and those that serve or will soon.
-    fn count(&self, context: &PlacementContext<'_>, asset: AssetKey) -> (usize, usize) {
-        let mut counts = (0, 0);
-        for (key, engine) in &self.engines {
-            counts.0 += usize::from(engine.may_hold(asset));
+    /// Replicas that may exist here.
+    fn possible(&self, asset: AssetKey) -> usize {
+        self.engines.values().filter(|engine| engine.may_hold(asset)).count()
+    }
+
+    /// Replicas that serve or will soon.
+    pub(super) fn useful(&self, context: &PlacementContext<'_>, asset: AssetKey) -> usize {
+        let serves = |(key, engine): &(UpstreamKey, &EngineState)| {
             let useful = engine.replicas.get(&asset).is_some_and(|replica| {
                 !matches!(replica.phase, ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading)
             });
-            let serves = useful && !engine.is_suspect();
-            let accepts = || context.members.upstream_accepts(context.catalog, key);
-            counts.1 += usize::from(serves && accepts());
-        }
-        counts
+            useful && !engine.is_suspect() && context.accepts(*key)
+        };
+        self.engines.iter().filter(serves).count()
     }
 
     fn load_wanted(
@@ -115,7 +127,8 @@
         self.declined.clear();
         let mut wanted: Vec<(AssetKey, AssetDemand)> = wanted.into_iter().collect();
         wanted.sort_by_key(|(asset, demand)| {
-            (context.catalog.assets[*asset].rank, demand.earliest, *asset)
+            let class = context.catalog.assets[*asset].rank;
+            (class.min(demand.rank), demand.earliest, *asset)
         });
         for (asset, demand) in wanted {
             if self.is_responsible(context, asset, demand.earliest) {
@@ -139,18 +152,23 @@
         let rolling = u16::from(record.state == VersionState::Rolling);
         let extra = (demand.waiting / WAITING_PER_REPLICA) as usize;
         let desired = (usize::from(least.max(rolling)) + extra).min(usize::from(record.cap));
-        let (possible, useful) = self.count(context, asset);
+        let useful = self.useful(context, asset);
         if useful >= desired {
             return;
         }
-        if possible >= usize::from(record.cap) {
+        if self.possible(asset) >= usize::from(record.cap) {
             self.decline_unless_pending(context, asset, useful);
             return;
         }
-        let waiting = demand.waiting > 0;
-        match self.choose_place(context, asset, waiting) {
-            PlaceChoice::Room(engine, others) => self.load(context, asset, engine, others),
-            PlaceChoice::Evict(engine, victims) => self.evict(context, engine, &victims),
+        let urgent = demand.waiting > 0;
+        match self.choose_place(context, asset, urgent, 0.0) {
+            PlaceChoice::Room(engine, others) => {
+                self.load(context, asset, engine, others, "demand");
+            }
+            PlaceChoice::Evict(engine, victims) => {
+                self.swap(context, asset, engine, &victims, "demand");
+            }
+            PlaceChoice::Crowded => self.add_base(context, asset),
             PlaceChoice::Nowhere if useful == 0 => {
                 self.declined.insert(asset);
             }
@@ -158,7 +176,26 @@
         }
     }
 
-    /// The cap is used up by replicas that cannot serve: another zone should help out.
+    /// Loads the base of an adapter at one more engine, as those that hold it are full.
+    fn add_base(&mut self, context: &mut PlacementContext<'_>, adapter: AssetKey) {
+        let Some(base) = context.catalog.assets[adapter].base else {
+            return;
+        };
+        if self.possible(base) >= usize::from(context.catalog.assets[base].cap) {
+            return;
+        }
+        match self.choose_place(context, base, true, 0.0) {
+            PlaceChoice::Room(engine, others) => {
+                self.load(context, base, engine, others, "no room for its adapter");
+            }
+            PlaceChoice::Evict(engine, victims) => {
+                self.swap(context, base, engine, &victims, "no room for its adapter");
+            }
+            PlaceChoice::Wait | PlaceChoice::Crowded | PlaceChoice::Nowhere => {}
+        }
+    }
+
+    /// The cap is used up by replicas that cannot serve: another scope should help out.
     fn decline_unless_pending(
         &mut self,
         context: &PlacementContext<'_>,
@@ -171,71 +208,13 @@
         }
     }
 
-    fn choose_place(
-        &self,
-        context: &PlacementContext<'_>,
-        asset: AssetKey,
-        waiting: bool,
-    ) -> PlaceChoice {
-        let record = &context.catalog.assets[asset];
-        let mut pending = false;
-        let mut rooms = Vec::new();
-        let mut evictions = Vec::new();
-        for (key, engine) in &self.engines {
-            let Some(upstream) = context.catalog.upstreams.get(key) else {
-                continue;
-            };
-            if !context.members.upstream_accepts(context.catalog, key) || engine.is_suspect() {
-                continue;
-            }
-            if upstream.memory_bytes < record.bytes || engine.replicas.contains_key(&asset) {
-                continue;
-            }
-            if !engine.takes_orders() {
-                pending = true;
-                continue;
-            }
-            if let Some(base) = record.base {
-                let ready = engine.replicas.get(&base).map(|entry| entry.phase);
-                if ready != Some(ReplicaPhase::Ready) {
-                    pending |= ready.is_some();
-                    continue;
-                }
-            }
-            let free = upstream.memory_bytes.saturating_sub(engine.reserved());
-            if free >= record.bytes {
-                rooms.push((free, key));
-            } else if waiting
-                && let Some(victims) = victims(context, engine, record.base, record.bytes - free)
-            {
-                evictions.push((victims.len(), key, victims));
-            }
-        }
-        // Adapters are loaded where their base is; models where most memory is free.
-        rooms.sort_by_key(|(free, key)| (Reverse(*free), *key));
-        if let Some((_, key)) = rooms.first() {
-            return PlaceChoice::Room(*key, rooms.len() - 1);
-        }
-        evictions.sort_by_key(|(count, key, _)| (*count, *key));
-        match evictions.into_iter().next() {
-            Some((_, key, victims)) => PlaceChoice::Evict(key, victims),
-            // An adapter waits for its base as long as that is on its way.
-            None if pending || record.base.is_some_and(|base| self.count(context, base).1 > 0) => {
-                PlaceChoice::Wait
-            }
-            None if record.base.is_some_and(|base| !self.declined.contains(&base)) => {
-                PlaceChoice::Wait
-            }
-            None => PlaceChoice::Nowhere,
-        }
-    }
-
-    fn load(
+    pub(super) fn load(
         &mut self,
         context: &mut PlacementContext<'_>,
         asset: AssetKey,
         upstream: UpstreamKey,
         others: usize,
+        reason: &'static str,
     ) {
         let record = &context.catalog.assets[asset];
         let name = record.name.clone();
@@ -250,11 +229,13 @@
             Some(_) => return,
             None => OrderKind::LoadModel { asset: name, bytes },
         };
-        if !adapter && models >= LoadBudget::concurrent(context.catalog) {
-            return;
-        }
-        if !adapter && !self.budget.take(context.now, context.catalog) {
-            return;
+        if !adapter && !self.has_copy(upstream, asset) {
+            if models >= LoadBudget::concurrent(context.catalog) {
+                return;
+            }
+            if !self.budget.take(context.now, context.catalog) {
+                return;
+            }
         }
         if !self.order(context, upstream, Some(asset), kind) {
             return;
@@ -263,34 +244,51 @@
         let entry = ReplicaEntry { phase: ReplicaPhase::Ordered, bytes, since: now, used: now };
         self.engines[upstream].replicas.insert(asset, entry);
         self.publish(context, upstream);
-        context.note(DecisionKind::Load, asset, upstream, "demand", others);
+        context.note(DecisionKind::Load, asset, upstream, reason, others);
     }
 
-    /// Models and adapters being loaded in this zone.
+    /// Whether the engine can load the asset without the weight store.
+    pub(super) fn has_copy(&self, upstream: UpstreamKey, asset: AssetKey) -> bool {
+        self.engines.get(upstream).is_some_and(|engine| {
+            engine.copies.memory.contains(&asset) || engine.copies.disk.contains(&asset)
+        })
+    }
+
+    /// Model loads from the weight store and adapter loads under way in this scope.
     fn loading(&self, context: &PlacementContext<'_>) -> (usize, usize) {
         let mut counts = (0, 0);
-        for (asset, replica) in self.engines.values().flat_map(|engine| &engine.replicas) {
-            if !matches!(replica.phase, ReplicaPhase::Ordered | ReplicaPhase::Loading) {
-                continue;
-            }
-            let record = context.catalog.assets.get(*asset);
-            match record.and_then(|record| record.base) {
-                Some(_) => counts.1 += 1,
-                None => counts.0 += 1,
+        for (key, engine) in &self.engines {
+            for (asset, replica) in &engine.replicas {
+                if !is_coming(replica.phase) {
+                    continue;
+                }
+                let record = context.catalog.assets.get(*asset);
+                match record.and_then(|record| record.base) {
+                    Some(_) => counts.1 += 1,
+                    None if !self.has_copy(key, *asset) => counts.0 += 1,
+                    None => {}
+                }
             }
         }
         counts
     }
 
-    fn evict(
+    /// Makes room and loads as soon as that is done.
+    pub(super) fn swap(
         &mut self,
         context: &mut PlacementContext<'_>,
+        asset: AssetKey,
         upstream: UpstreamKey,
         victims: &[AssetKey],
+        reason: &'static str,
     ) {
         for victim in victims {
             self.retire(context, *victim, upstream, "evicted");
         }
+        if context.timing.retire_grace.is_zero() {
+            self.unload_retired(context);
+        }
+        context.note(DecisionKind::Load, asset, upstream, reason, victims.len());
     }
 
     fn retire(
@@ -329,7 +327,7 @@
                 let retired = record.state == VersionState::Retired;
                 let idle = replica.used <= idle_since
                     && wanted.get(asset).is_none_or(|demand| demand.waiting == 0)
-                    && self.count(context, *asset).1 > usize::from(record.floor);
+                    && self.useful(context, *asset) > usize::from(record.floor);
                 if (retired || idle) && !engine.has_adapters_of(context.catalog, *asset) {
                     let reason = if retired { "version retired" } else { "idle" };
                     retiring.push((*asset, upstream, reason));
@@ -338,7 +336,7 @@
         }
         for (asset, upstream, reason) in retiring {
             let floor = context.catalog.assets[asset].floor;
-            if reason != "idle" || self.count(context, asset).1 > usize::from(floor) {
+            if reason != "idle" || self.useful(context, asset) > usize::from(floor) {
                 self.retire(context, asset, upstream, reason);
             }
         }
@@ -351,7 +349,12 @@
                 continue;
             }
             let ready = |replica: &ReplicaEntry| matches!(replica.phase, ReplicaPhase::Retiring(at) if at <= context.now);
-            let mut assets = engine.replicas.iter().filter(|(_, replica)| ready(replica));
+            let waits = engine.next_order > context.now || engine.is_loading_model(context.catalog);
+            let mut assets = engine.replicas.iter().filter(|(asset, replica)| {
+                let model =
+                    context.catalog.assets.get(**asset).is_none_or(|record| record.base.is_none());
+                ready(replica) && !(model && waits)
+            });
             if let Some((asset, _)) = assets.next() {
                 due.push((*asset, upstream));
             }
@@ -376,34 +379,3 @@
         }
     }
 }
-
-/// The idle replicas to unload so that `missing` bytes become free: longest unused first.
-fn victims(
-    context: &PlacementContext<'_>,
-    engine: &EngineState,
-    base: Option<AssetKey>,
-    missing: u64,
-) -> Option<Vec<AssetKey>> {
-    let idle_since = context.now.before(EVICTION_IDLE);
-    let mut candidates: Vec<(&AssetKey, &ReplicaEntry)> = engine
-        .replicas
-        .iter()
-        .filter(|(asset, replica)| {
-            let floor = context.catalog.assets.get(**asset).map_or(0, |record| record.floor);
-            let ready = replica.phase == ReplicaPhase::Ready;
-            ready && replica.used <= idle_since && floor == 0 && Some(**asset) != base
-        })
-        .filter(|(asset, _)| !engine.has_adapters_of(context.catalog, **asset))
-        .collect();
-    candidates.sort_by_key(|(asset, replica)| (replica.used, **asset));
-    let mut freed = 0;
-    let mut chosen = Vec::new();
-    for (asset, replica) in candidates {
-        if freed >= missing {
-            break;
-        }
-        freed += replica.bytes;
-        chosen.push(*asset);
-    }
-    (freed >= missing).then_some(chosen)
-}
--- a/components/decisions/src/routing/mod.rs
+++ b/components/decisions/src/routing/mod.rs
@@ -6,5 +6,5 @@
 pub use tracker::UpstreamOffer;
 pub use tracker::UpstreamTracker;
 pub use view::ReplicaView;
-pub use view::TableScope;
+pub use view::TableRange;
 pub use view::ViewChange;
--- a/components/decisions/src/routing/view.rs
+++ b/components/decisions/src/routing/view.rs
@@ -1,4 +1,4 @@
-//! What every zone holds, as its leader last told.
+//! What every scope holds, as its leader last told.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,25 +29,25 @@
 
 /// Which rows a reader follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TableScope {
-    /// All zones, as a leader passes them on to its hosts.
+pub enum TableRange {
+    /// All scopes, as a leader passes them on to its hosts.
     Everywhere,
-    /// The sender's own zone, as leaders tell each other.
-    OwnZone,
+    /// The sender's own scope, as leaders tell each other.
+    OwnScope,
 }
 
-/// Placement of all zones.
+/// Placement of all scopes.
 #[derive(Debug, Clone)]
 pub struct ReplicaView {
     /// Identifies this process's tables.
     id: u64,
-    /// Rows of all zones. A row's zone is that of its upstream.
+    /// Rows of all scopes. A row's scope is that of its upstream.
     all: VersionedTable<ReplicaKey, ReplicaState>,
-    /// Rows of the own zone; kept while this process leads.
+    /// Rows of the own scope; kept while this process leads.
     own: VersionedTable<ReplicaKey, ReplicaState>,
-    /// What was applied of each sender's table, by the sender's zone.
+    /// What was applied of each sender's table, by the sender's scope.
     sources: BTreeMap<String, TableAck>,
-    /// When the leader of each zone was last heard.
+    /// When the leader of each scope was last heard.
     heard: BTreeMap<String, Moment>,
     /// Upstreams of each asset in any state. Always agrees with `all`.
     held: SecondaryMap<AssetKey, Vec<(UpstreamKey, ReplicaState)>>,
@@ -69,12 +69,12 @@
         }
     }
 
-    /// Upstreams that hold `asset` ready, in any zone.
+    /// Upstreams that hold `asset` ready, in any scope.
     pub fn ready(&self, asset: AssetKey) -> &[UpstreamKey] {
         self.ready.get(asset).map_or(&[], Vec::as_slice)
     }
 
-    /// Upstreams that hold `asset` or are about to, in any zone, with their states.
+    /// Upstreams that hold `asset` or are about to, in any scope, with their states.
     pub fn held(&self, asset: AssetKey) -> &[(UpstreamKey, ReplicaState)] {
         self.held.get(asset).map_or(&[], Vec::as_slice)
     }
@@ -93,7 +93,7 @@
         changed
     }
 
-    /// Sets one replica of the own zone, as this process decides it.
+    /// Sets one replica of the own scope, as this process decides it.
     pub fn put_own(
         &mut self,
         asset: AssetKey,
@@ -104,10 +104,10 @@
         self.put(asset, upstream, state)
     }
 
-    /// Starts to keep the own zone's rows, with what the predecessor told.
-    pub fn start_leading(&mut self, catalog: &InventoryCatalog, zone: &str) {
+    /// Starts to keep the own scope's rows, with what the predecessor told.
+    pub fn start_leading(&mut self, catalog: &InventoryCatalog, scope: &str) {
         let inside =
-            |upstream| catalog.upstreams.get(upstream).is_some_and(|record| record.zone == zone);
+            |upstream| catalog.upstreams.get(upstream).is_some_and(|record| record.scope == scope);
         let rows: BTreeMap<ReplicaKey, ReplicaState> =
             self.all.iter().filter(|((_, upstream), _)| inside(*upstream)).collect();
         for (key, _) in self.own_rows() {
@@ -120,71 +120,72 @@
         }
     }
 
-    /// Rows of the own zone, while this process leads.
+    /// Rows of the own scope, while this process leads.
     pub fn own_rows(&self) -> Vec<(ReplicaKey, ReplicaState)> {
         self.own.iter().collect()
     }
 
-    /// Rows of all zones.
+    /// Rows of all scopes.
     pub fn rows(&self) -> impl Iterator<Item = (ReplicaKey, ReplicaState)> + '_ {
         self.all.iter()
     }
 
     /// Assets that `upstream` holds in any state.
     pub fn assets_at(&self, upstream: UpstreamKey) -> Vec<AssetKey> {
-        self.all
-            .iter()
-            .filter(|((_, at), _)| *at == upstream)
-            .map(|((asset, _), _)| asset)
-            .collect()
+        assets_in(&self.all, upstream)
+    }
+
+    /// Assets that `upstream` holds in any state, as this process decides it while it leads.
+    pub fn own_assets_at(&self, upstream: UpstreamKey) -> Vec<AssetKey> {
+        assets_in(&self.own, upstream)
     }
 
-    /// When the leader of `zone` was last heard.
-    pub fn last_heard(&self, zone: &str) -> Option<Moment> {
-        self.heard.get(zone).copied()
+    /// When the leader of `scope` was last heard.
+    pub fn last_heard(&self, scope: &str) -> Option<Moment> {
+        self.heard.get(scope).copied()
     }
 
-    /// Notes that the leader of `zone` is alive.
-    pub fn mark_heard(&mut self, zone: &str, now: Moment) {
-        match self.heard.get_mut(zone) {
+    /// Notes that the leader of `scope` is alive.
+    pub fn mark_heard(&mut self, scope: &str, now: Moment) {
+        match self.heard.get_mut(scope) {
             Some(heard) => *heard = now,
             None => {
-                self.heard.insert(zone.to_owned(), now);
+                self.heard.insert(scope.to_owned(), now);
             }
         }
     }
 
-    /// What this process has applied of the table of the leader of `zone`.
-    pub fn ack(&self, zone: &str) -> TableAck {
-        self.sources.get(zone).copied().unwrap_or_default()
+    /// What this process has applied of the table of the leader of `scope`.
+    pub fn ack(&self, scope: &str) -> TableAck {
+        self.sources.get(scope).copied().unwrap_or_default()
     }
 
     /// Version of a table, in this process's counting.
-    pub fn version(&self, scope: TableScope) -> u64 {
-        self.table(scope).version()
+    pub fn version(&self, range: TableRange) -> u64 {
+        self.table(range).version()
     }
 
-    fn table(&self, scope: TableScope) -> &VersionedTable<ReplicaKey, ReplicaState> {
-        match scope {
-            TableScope::Everywhere => &self.all,
-            TableScope::OwnZone => &self.own,
+    fn table(&self, range: TableRange) -> &VersionedTable<ReplicaKey, ReplicaState> {
+        match range {
+            TableRange::Everywhere => &self.all,
+            TableRange::OwnScope => &self.own,
         }
     }
 
     /// Whether a reader that confirmed `ack` has something to learn.
-    pub fn is_behind(&self, scope: TableScope, ack: TableAck) -> bool {
-        ack.table != self.id || ack.version != self.version(scope)
+    pub fn is_behind(&self, range: TableRange, ack: TableAck) -> bool {
+        ack.table != self.id || ack.version != self.version(range)
     }
 
     /// Builds the update that brings a reader that confirmed `ack` up to date.
     pub fn update_for(
         &self,
         catalog: &InventoryCatalog,
-        scope: TableScope,
+        range: TableRange,
         ack: TableAck,
     ) -> TableUpdate {
         let since = if ack.table == self.id { ack.version } else { 0 };
-        let delta = self.table(scope).delta(since);
+        let delta = self.table(range).delta(since);
         let row = |((asset, upstream), state): (ReplicaKey, Option<ReplicaState>)| {
             let asset = catalog.assets.get(asset)?.name.clone();
             let upstream = catalog.upstreams.get(upstream)?.name.clone();
@@ -198,15 +199,15 @@
         }
     }
 
-    /// Applies an update from the leader of `zone`. `scope` tells which rows it speaks for.
+    /// Applies an update from the leader of `scope`. `range` tells which rows it speaks for.
     pub fn apply(
         &mut self,
         catalog: &InventoryCatalog,
-        zone: &str,
-        scope: TableScope,
+        scope: &str,
+        range: TableRange,
         update: &TableUpdate,
     ) -> ViewChange {
-        let applied = self.ack(zone);
+        let applied = self.ack(scope);
         let same = applied.table == update.table;
         if same && applied.version == update.version && update.rows.is_empty() {
             return ViewChange::Applied(Vec::new());
@@ -216,14 +217,14 @@
         if !follows || older {
             return ViewChange::Refused;
         }
-        self.apply_rows(catalog, zone, scope, update)
+        self.apply_rows(catalog, scope, range, update)
     }
 
     fn apply_rows(
         &mut self,
         catalog: &InventoryCatalog,
-        zone: &str,
-        scope: TableScope,
+        scope: &str,
+        range: TableRange,
         update: &TableUpdate,
     ) -> ViewChange {
         let mut rows = Vec::with_capacity(update.rows.len());
@@ -236,7 +237,7 @@
             }
         }
         if update.since == 0 {
-            self.drop_absent(catalog, zone, scope, &rows);
+            self.drop_absent(catalog, scope, range, &rows);
         }
         let mut became_ready = Vec::new();
         for ((asset, upstream), state) in rows {
@@ -249,22 +250,22 @@
             return ViewChange::Refused;
         }
         let ack = TableAck { table: update.table, version: update.version };
-        self.sources.insert(zone.to_owned(), ack);
+        self.sources.insert(scope.to_owned(), ack);
         ViewChange::Applied(became_ready)
     }
 
-    /// Removes the rows that a whole table of `zone` no longer names.
+    /// Removes the rows that a whole table of `scope` no longer names.
     fn drop_absent(
         &mut self,
         catalog: &InventoryCatalog,
-        zone: &str,
-        scope: TableScope,
+        scope: &str,
+        range: TableRange,
         kept: &[(ReplicaKey, Option<ReplicaState>)],
     ) {
         let kept: BTreeSet<ReplicaKey> = kept.iter().map(|(key, _)| *key).collect();
         let spoken_for = |upstream| {
-            scope == TableScope::Everywhere
-                || catalog.upstreams.get(upstream).is_none_or(|record| record.zone == zone)
+            range == TableRange::Everywhere
+                || catalog.upstreams.get(upstream).is_none_or(|record| record.scope == scope)
         };
         let absent: Vec<ReplicaKey> = self
             .all
@@ -312,3 +313,10 @@
         }
     }
 }
+
+fn assets_in(
+    table: &VersionedTable<ReplicaKey, ReplicaState>,
+    upstream: UpstreamKey,
+) -> Vec<AssetKey> {
+    table.iter().filter(|((_, at), _)| *at == upstream).map(|((asset, _), _)| asset).collect()
+}
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -29,8 +29,10 @@
     pub idle_claim: Duration,
     /// Between the notice that a replica retires and the order to unload it.
     pub retire_grace: Duration,
-    /// Between two reads of the configuration's head.
-    pub configuration_read: Duration,
+    /// A replica used more recently than this is not unloaded for another.
+    pub eviction_idle: Duration,
+    /// Between two reads of the configuration's head; `None` when the platform tells of it.
+    pub configuration_read: Option<Duration>,
     /// A request still waiting this long before its deadline is refused.
     pub refusal_lead: Duration,
 }
@@ -50,7 +52,8 @@
             loading_claim: Duration::from_millis(150),
             idle_claim: Duration::from_secs(2),
             retire_grace: Duration::from_millis(300),
-            configuration_read: Duration::from_secs(1),
+            eviction_idle: Duration::from_secs(5),
+            configuration_read: Some(Duration::from_secs(1)),
             refusal_lead: Duration::from_millis(40),
         }
     }
--- a/components/decisions/tests/admission.rs
+++ b/components/decisions/tests/admission.rs
@@ -77,6 +77,7 @@
     HostStamp {
         name: name.to_owned(),
         zone: "east".to_owned(),
+        scope: "east".to_owned(),
         address: format!("{name}:1"),
         incarnation: 1,
     }
@@ -112,13 +113,18 @@
 
     fn hear(&mut self, message: PeerMessage) {
         let from = stamp("east-2");
-        self.submit(HostEvent::Peer(PeerEnvelope { version: MESSAGE_VERSION, from, message }));
+        self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
+            version: MESSAGE_VERSION,
+            from,
+            message,
+        })));
     }
 
     fn list(&mut self) {
         let listed = ListedHost {
             name: "llm".to_owned(),
             zone: "east".to_owned(),
+            scope: "east".to_owned(),
             peer_address: String::new(),
             state: ListedState::Live,
         };
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -99,7 +99,10 @@
             let record = reducer.catalog().upstreams.get(order.upstream)?;
             let address = record.address.parse().ok()?;
             let (upstream, holder) = (record.name.clone(), self.me.name.clone());
-            Some(OrderTarget { address, upstream, holder })
+            let services = &reducer.catalog().services;
+            let service = record.service.and_then(|service| services.get(service));
+            let service = service.map_or_else(String::new, |service| service.name.clone());
+            Some(OrderTarget { address, upstream, service, holder })
         });
         let Some(target) = target else {
             self.submit(HostEvent::Order(order.key, OrderOutcome::NotSent));
@@ -111,7 +114,7 @@
             let now = shell.now();
             now < valid_until && shell.read(|reducer| reducer.may_order(now, token))
         });
-        let request = OrderRequest { token, order: order.kind };
+        let request = OrderRequest { token, expected: order.expected, order: order.kind };
         let outcome = self.parts.orders.send(target, request, may_write);
         let shell = Rc::clone(self);
         actix_rt::spawn(async move {
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -24,6 +24,7 @@
 use wagtailledge_peers::PeerServer;
 use wagtailledge_peers::PeerTraffic;
 use wagtailledge_settings::HostSettings;
+use wagtailledge_settings::file::PlatformProtocol;
 use wagtailledge_settings::file::TimingSection;
 
 use crate::adapters::EventSource;
@@ -123,13 +124,18 @@
         (section.promise_ttl, &mut rules.promise_ttl),
         (section.max_extension, &mut rules.max_extension),
         (section.order_lifetime, &mut rules.order_lifetime),
-        (section.configuration_read, &mut rules.configuration_read),
+        (section.retire_grace, &mut rules.retire_grace),
+        (section.eviction_idle, &mut rules.eviction_idle),
+        (section.notice_pause, &mut rules.notice_pause),
     ];
     for (given, rule) in fields {
         if let Some(span) = given {
             *rule = span.0;
         }
     }
+    if let Some(span) = section.configuration_read {
+        rules.configuration_read = Some(span.0);
+    }
     rules
 }
 
@@ -142,7 +148,10 @@
         settings: &HostSettings,
         adapters: HostAdapters,
     ) -> Result<Self, StartError> {
-        let timing = timing_rules(&settings.timing);
+        let mut timing = timing_rules(&settings.timing);
+        if settings.platform.protocol == PlatformProtocol::Store {
+            timing.configuration_read = None;
+        }
         timing.check().map_err(StartError::Timing)?;
         let seal = MessageSeal::new(&settings.security.shared_secret);
         let (peers, inbox) = PeerServer::start(settings.listen.peers, seal.clone())
@@ -151,6 +160,7 @@
         let me = HostStamp {
             name: settings.host.name.clone(),
             zone: settings.host.zone.clone(),
+            scope: settings.host.scope.as_ref().unwrap_or(&settings.host.zone).clone(),
             address: peers.address().to_string(),
             incarnation: rand::random(),
         };
@@ -268,7 +278,7 @@
 async fn inbox_loop(shell: Rc<EntryShell>, mut inbox: mpsc::Receiver<PeerTraffic>) {
     while let Some(traffic) = inbox.recv().await {
         match traffic {
-            PeerTraffic::Message(envelope) => shell.submit(HostEvent::Peer(*envelope)),
+            PeerTraffic::Message(envelope) => shell.submit(HostEvent::Peer(envelope)),
             PeerTraffic::Status(answer) => {
                 let status = serde_json::to_string(&shell.status());
                 // It fails only when the operator is gone.
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Who this process is.
+    pub fn stamp(&self) -> &HostStamp {
+        &self.me
+    }
+
     /// Now, on the clock the reducer knows.
     pub fn now(&self) -> Moment {
         Moment((CLOCK_START + self.started.elapsed()).as_micros() as u64)
--- a/components/fuzzer/src/world/deliver.rs
+++ b/components/fuzzer/src/world/deliver.rs
@@ -136,7 +136,7 @@
         match flight {
             Flight::Peer(slot, envelope) => {
                 if self.reaches_host(&envelope.from, slot) {
-                    self.submit(slot, HostEvent::Peer(*envelope));
+                    self.submit(slot, HostEvent::Peer(envelope));
                 }
             }
             Flight::StoreAnswer(id, call, outcome) => {
@@ -246,6 +246,7 @@
             hosts.push(ListedHost {
                 name: slot.name.clone(),
                 zone: slot.zone.clone(),
+                scope: slot.zone.clone(),
                 peer_address: format!("10.2.{index}.0:70"),
                 state: ListedState::Live,
             });
@@ -255,6 +256,7 @@
             hosts.push(ListedHost {
                 name: engine.name.clone(),
                 zone: engine.zone.clone(),
+                scope: engine.zone.clone(),
                 peer_address: String::new(),
                 state: if leaving { ListedState::Leaving } else { ListedState::Live },
             });
@@ -263,6 +265,7 @@
             hosts.push(ListedHost {
                 name: format!("{}-app", ZONES[*zone]),
                 zone: ZONES[*zone].to_owned(),
+                scope: ZONES[*zone].to_owned(),
                 peer_address: String::new(),
                 state: ListedState::Live,
             });
--- a/components/fuzzer/src/world/engines.rs
+++ b/components/fuzzer/src/world/engines.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use wagtailledge_decisions::order::EngineListing;
 use wagtailledge_decisions::order::HeldAsset;
 use wagtailledge_decisions::order::HeldState;
 use wagtailledge_decisions::order::OrderKind;
@@ -80,13 +81,14 @@
         self.token = 0;
     }
 
-    fn listing(&self, now: u64) -> Vec<HeldAsset> {
+    fn listing(&self, now: u64) -> EngineListing {
         let item = |(asset, entry): (&String, &HeldEntry)| HeldAsset {
             asset: asset.clone(),
             bytes: entry.bytes,
             state: if entry.ready_at <= now { HeldState::Ready } else { HeldState::Loading },
         };
-        self.held.iter().map(item).collect()
+        let held = self.held.iter().map(item).collect();
+        EngineListing { held, ..EngineListing::default() }
     }
 
     /// Carries out an order; a model takes `load_time` microseconds.
--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -95,7 +95,7 @@
         let catalog = process.reducer.catalog();
         let name = ASSETS[asset % ASSETS.len()];
         let key = catalog.asset_named(name).or(catalog.asset_named(&format!("{name}@1")))?;
-        let home = catalog.zone_order(key);
+        let home = catalog.scope_order(key);
         ZONES.iter().position(|zone| home.first() == Some(zone))
     }
 
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -162,6 +162,7 @@
         let stamp = HostStamp {
             name: place.name.clone(),
             zone: place.zone.clone(),
+            scope: place.zone.clone(),
             address: format!("10.2.{slot}.0:70"),
             incarnation: place.incarnations,
         };
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -50,8 +50,8 @@
     pub services: SlotMap<ServiceKey, ServiceRecord>,
     /// Routes of requests that are passed through.
     pub routes: RouteTable,
-    /// Zones that have engines, sorted.
-    pub zones: Vec<String>,
+    /// Scopes of placement that have engines, sorted.
+    pub scopes: Vec<String>,
     asset_names: BTreeMap<String, AssetKey>,
     upstream_names: BTreeMap<String, UpstreamKey>,
     service_names: BTreeMap<String, ServiceKey>,
@@ -164,15 +164,15 @@
     pub fn register_upstream(&mut self, mut record: UpstreamRecord) -> Option<UpstreamKey> {
         record.registered = true;
         let service = record.service.filter(|service| self.services.contains_key(*service))?;
-        let zone = record.zone.clone();
+        let scope = record.scope.clone();
         let engine = matches!(record.kind, UpstreamKind::Engine { .. });
         let key = self.put_upstream(record);
         let instances = &mut self.services[service].instances;
         if !instances.contains(&key) {
             instances.push(key);
         }
-        if engine && let Err(place) = self.zones.binary_search(&zone) {
-            self.zones.insert(place, zone);
+        if engine && let Err(place) = self.scopes.binary_search(&scope) {
+            self.scopes.insert(place, scope);
         }
         Some(key)
     }
@@ -213,22 +213,22 @@
         self.versions.keys().map(String::as_str)
     }
 
-    /// Zones in the order in which they should hold the model of `asset`, its home first.
+    /// Scopes in the order in which they should hold the model of `asset`, its home first.
     ///
     /// An adapter lives with its base, so both give the same order.
-    pub fn zone_order(&self, asset: AssetKey) -> Vec<&str> {
+    pub fn scope_order(&self, asset: AssetKey) -> Vec<&str> {
         let record = &self.assets[asset];
         let named = record.base.and_then(|base| self.assets.get(base)).unwrap_or(record);
         let seed = xxh3_64_with_seed(named.name.as_bytes(), 0);
-        let mut zones: Vec<&str> = self.zones.iter().map(String::as_str).collect();
-        zones.sort_by_key(|zone| std::cmp::Reverse(xxh3_64_with_seed(zone.as_bytes(), seed)));
-        zones
+        let mut scopes: Vec<&str> = self.scopes.iter().map(String::as_str).collect();
+        scopes.sort_by_key(|scope| std::cmp::Reverse(xxh3_64_with_seed(scope.as_bytes(), seed)));
+        scopes
     }
 
-    /// Engines of `zone`.
-    pub fn engines_in<'c>(&'c self, zone: &'c str) -> impl Iterator<Item = UpstreamKey> + 'c {
+    /// Engines of `scope`.
+    pub fn engines_in<'c>(&'c self, scope: &'c str) -> impl Iterator<Item = UpstreamKey> + 'c {
         let engine = |kind: UpstreamKind| matches!(kind, UpstreamKind::Engine { .. });
-        let inside = move |record: &UpstreamRecord| record.zone == zone && engine(record.kind);
+        let inside = move |record: &UpstreamRecord| record.scope == scope && engine(record.kind);
         self.upstreams.iter().filter(move |(_, record)| inside(record)).map(|(key, _)| key)
     }
 
@@ -321,6 +321,7 @@
             records.push(UpstreamRecord {
                 name: engine.name.clone(),
                 zone: engine.zone.clone(),
+                scope: engine.zone.clone(),
                 address: engine.address.clone(),
                 memory_bytes: engine.memory.0,
                 slots: engine.slots,
@@ -335,6 +336,7 @@
                 records.push(UpstreamRecord {
                     name: instance.name.clone(),
                     zone: instance.zone.clone(),
+                    scope: instance.zone.clone(),
                     address: instance.address.clone(),
                     memory_bytes: 0,
                     slots: instance.slots,
@@ -372,10 +374,10 @@
     fn index(&mut self, document: &InventoryDocument) {
         let engine = |kind: UpstreamKind| matches!(kind, UpstreamKind::Engine { .. });
         let engines = self.upstreams.values().filter(|record| engine(record.kind));
-        let mut zones: Vec<String> = engines.map(|record| record.zone.clone()).collect();
-        zones.sort();
-        zones.dedup();
-        self.zones = zones;
+        let mut scopes: Vec<String> = engines.map(|record| record.scope.clone()).collect();
+        scopes.sort();
+        scopes.dedup();
+        self.scopes = scopes;
         for service in self.services.values_mut() {
             service.instances.clear();
         }
--- a/components/inventory/src/catalog/records.rs
+++ b/components/inventory/src/catalog/records.rs
@@ -65,6 +65,8 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// Scope of placement that the zone belongs to.
+    pub scope: String,
     /// IP address and port.
     pub address: String,
     /// Accelerator memory in bytes; 0 for plain services.
--- a/components/keyvalue/src/hosts.rs
+++ b/components/keyvalue/src/hosts.rs
@@ -32,7 +32,9 @@
 impl From<HostEntry> for ListedHost {
     fn from(entry: HostEntry) -> Self {
         let state = if entry.leaving { ListedState::Leaving } else { ListedState::Live };
-        Self { name: entry.name, zone: entry.zone, peer_address: entry.peer_address, state }
+        let scope = entry.zone.clone();
+        let HostEntry { name, zone, peer_address, .. } = entry;
+        Self { name, zone, scope, peer_address, state }
     }
 }
 
--- a/components/peers/tests/strangers.rs
+++ b/components/peers/tests/strangers.rs
@@ -19,6 +19,7 @@
     let from = HostStamp {
         name: "east-1".to_owned(),
         zone: "east".to_owned(),
+        scope: "east".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         incarnation: 1,
     };
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -1,5 +1,6 @@
 //! The settings file.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -21,6 +22,9 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// Scope of placement that the zone belongs to; the zone itself by default.
+    #[serde(default)]
+    pub scope: Option<String>,
 }
 
 /// `[listen]`: where this host listens.
@@ -153,6 +157,12 @@
     pub max_extension: Option<TimeSpan>,
     /// An order not carried out this long after it was written never will be.
     pub order_lifetime: Option<TimeSpan>,
+    /// Between the notice that a replica retires and the order to unload it.
+    pub retire_grace: Option<TimeSpan>,
+    /// A replica used more recently than this is not unloaded for another.
+    pub eviction_idle: Option<TimeSpan>,
+    /// Least time between two messages about the same changing state.
+    pub notice_pause: Option<TimeSpan>,
     /// Between two reads of the configuration's head.
     pub configuration_read: Option<TimeSpan>,
 }
@@ -174,6 +184,9 @@
     pub drain: DrainSection,
     /// `[retries]`.
     pub retries: RetrySection,
+    /// `[scopes]`: scope of placement of each availability zone; zones that are not named are
+    /// scopes of their own.
+    pub scopes: BTreeMap<String, String>,
     /// `[metrics]`.
     pub metrics: MetricSection,
     /// `[timing]`.
@@ -244,6 +257,7 @@
         let limits = reader.table(root, "limits").unwrap_or_default();
         let drain = reader.table(root, "drain").unwrap_or_default();
         let retries = reader.table(root, "retries").unwrap_or_default();
+        let scopes = reader.table(root, "scopes").unwrap_or_default();
         let metrics = reader.table(root, "metrics").unwrap_or_default();
         let timing = reader.table(root, "timing").unwrap_or_default();
         Some(HostSettings {
@@ -254,6 +268,7 @@
             limits,
             drain,
             retries,
+            scopes,
             metrics,
             timing,
         })
--- a/components/standins/src/stack.rs
+++ b/components/standins/src/stack.rs
@@ -270,7 +270,7 @@
         let mut catalog = InventoryCatalog::default();
         catalog.replace(1, &self.document);
         let key = catalog.asset_named(asset).expect("the asset is declared");
-        catalog.zone_order(key)[0].to_owned()
+        catalog.scope_order(key)[0].to_owned()
     }
 
     /// Waits until every zone has a leader with all its engines claimed, or `patience` is over.
--- a/components/upstreams/src/order.rs
+++ b/components/upstreams/src/order.rs
@@ -6,6 +6,7 @@
 use futures::future::LocalBoxFuture;
 use serde::Deserialize;
 use serde::Serialize;
+use wagtailledge_decisions::order::EngineListing;
 use wagtailledge_decisions::order::HeldAsset;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
@@ -15,6 +16,9 @@
 pub struct OrderRequest {
     /// Fencing token.
     pub token: u64,
+    /// Orders the engine must have accepted before, where it counts them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expected: Option<u64>,
     /// What to do.
     pub order: OrderKind,
 }
@@ -43,13 +47,17 @@
 impl From<OrderAnswer> for OrderOutcome {
     fn from(answer: OrderAnswer) -> Self {
         match answer.verdict {
-            OrderVerdict::Accepted => Self::Accepted(answer.held),
-            OrderVerdict::Refused => Self::Refused(answer.held),
+            OrderVerdict::Accepted => Self::Accepted(listing(answer.held)),
+            OrderVerdict::Refused => Self::Refused(listing(answer.held)),
             OrderVerdict::StaleToken => Self::StaleToken,
         }
     }
 }
 
+fn listing(held: Vec<HeldAsset>) -> EngineListing {
+    EngineListing { held, ..EngineListing::default() }
+}
+
 /// The engine that an order is for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderTarget {
@@ -57,6 +65,8 @@
     pub address: SocketAddr,
     /// Name of the engine.
     pub upstream: String,
+    /// Service whose pool it belongs to; empty for none.
+    pub service: String,
     /// Name of the host that sends the order.
     pub holder: String,
 }
