Hold replicas that refuse, share a retry budget, wait for engines with a copy, meet by prompt

Traced by order lines. Ruled out: hosts that retry failed requests; the arrivals were requests for loading models.

--- a/components/decisions/src/admission/mod.rs
+++ b/components/decisions/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod queue;
 mod record;
 
+pub use queue::WaitKey;
 pub use queue::WaitingQueue;
 pub use queue::queue_key;
 pub use record::RequestRecord;
--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -54,6 +54,8 @@
     pub terms: Option<RouteTerms>,
     /// Dispatches that may have run.
     pub runs: u32,
+    /// Upstreams that failed it or did not run it.
+    pub tried: Vec<UpstreamKey>,
 }
 
 impl RequestRecord {
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -13,6 +13,7 @@
 use crate::request::RefusalReason;
 use crate::request::RequestKey;
 use crate::request::RequestRepeat;
+use crate::request::RequestTarget;
 use crate::time::Moment;
 
 use super::state::HostReducer;
@@ -41,9 +42,19 @@
             self.deadlines.remove(&(deadline, key));
         }
         effects.push(HostEffect::Forward { ticket, attempt });
+        let target = request.target;
+        self.replica_served(target, upstream);
         self.upstream_answered(upstream, effects);
     }
 
+    /// The replica serves: it may get requests as it comes.
+    fn replica_served(&mut self, target: RequestTarget, upstream: UpstreamKey) {
+        if let RequestTarget::Asset(asset) = target {
+            self.trials.remove(&(asset, upstream));
+            self.holds.cleared(asset, upstream);
+        }
+    }
+
     fn upstream_answered(&mut self, upstream: UpstreamKey, effects: &mut Vec<HostEffect>) {
         if self.tracker.succeeded(upstream) {
             self.note_health(upstream, "taken back", "probe answered", effects);
@@ -87,6 +98,9 @@
         let target = request.target;
         self.tracker.released(upstream);
         self.ran(target);
+        if let RequestTarget::Asset(asset) = target {
+            self.trials.remove(&(asset, upstream));
+        }
         match outcome {
             AttemptOutcome::Streamed => self.remove(key),
             AttemptOutcome::Answered(answer) => {
@@ -133,7 +147,13 @@
         misplaced: bool,
         effects: &mut Vec<HostEffect>,
     ) {
-        self.tracker.was_busy(now, upstream);
+        match self.requests[key].target {
+            // The engine may be full, or load or unload just this asset: others are not affected.
+            RequestTarget::Asset(asset) if self.catalog.upstreams.contains_key(upstream) => {
+                self.holds.refused(now, asset, upstream);
+            }
+            _ => self.tracker.was_busy(now, upstream),
+        }
         if misplaced {
             self.suspects.insert(upstream);
             self.leader_link.dirty = true;
@@ -165,11 +185,15 @@
         let streaming = matches!(request.stage, RequestStage::Streaming(_));
         let resumable = request.terms.as_ref().is_some_and(|terms| terms.resumable);
         let may_retry = request.may_run_again() && (!streaming || resumable) && !settled;
-        if may_retry && self.retries.spend() {
+        request.tried.push(upstream);
+        let keyed = matches!(request.repeat, RequestRepeat::Keyed(_));
+        let service = self.service_of(self.requests[key].target);
+        let hosts = self.members.count() + 1;
+        if may_retry && self.retries.may_repeat(now, service, hosts) {
             self.wait(now, key, effects);
             return;
         }
-        if matches!(request.repeat, RequestRepeat::Keyed(_)) {
+        if keyed {
             self.finish(now, key, LedgerState::Unknown, effects);
         }
         // Cuts the answer off if it has begun.
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use wagtailledge_inventory::AssetKey;
-use wagtailledge_inventory::UpstreamKey;
 
 use crate::admission::RequestRecord;
 use crate::admission::RequestStage;
@@ -23,7 +22,6 @@
 
 use super::state::HostReducer;
 use crate::admission::queue_key;
-use crate::routing::UpstreamOffer;
 
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
@@ -72,7 +70,9 @@
             caller: request.caller,
             terms: request.terms,
             runs: 0,
+            tried: Vec::new(),
         };
+        self.retries.requested(now, self.service_of(request.target));
         let key = self.requests.insert(record);
         self.tickets.insert(request.ticket, key);
         self.deadlines.insert((deadline, key));
@@ -155,126 +155,6 @@
         }
     }
 
-    /// Serves all targets that have waiting requests: the highest class first, and within a class
-    /// those with the fewest running, so that one model's burst does not starve the others.
-    pub(super) fn pump_all(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
-        loop {
-            let mut heads: Vec<_> = self
-                .queue
-                .targets()
-                .map(|(target, head, _)| (head.rank, self.running_for(target), head, target))
-                .collect();
-            heads.sort_unstable();
-            let served =
-                heads.into_iter().any(|(_, _, _, target)| self.serve_first(now, target, effects));
-            if !served {
-                return;
-            }
-        }
-    }
-
-    fn running_for(&self, target: RequestTarget) -> usize {
-        self.running.get(&target).copied().unwrap_or(0)
-    }
-
-    /// Notes that a request for `target` no longer runs.
-    pub(super) fn ran(&mut self, target: RequestTarget) {
-        if let Some(running) = self.running.get_mut(&target) {
-            *running -= 1;
-            if *running == 0 {
-                self.running.remove(&target);
-            }
-        }
-    }
-
-    /// Serves waiting requests for one target while an upstream has room.
-    pub(super) fn pump(
-        &mut self,
-        now: Moment,
-        target: RequestTarget,
-        effects: &mut Vec<HostEffect>,
-    ) {
-        while self.serve_first(now, target, effects) {}
-    }
-
-    /// Dispatches the first waiting request for a target; false when that cannot be done now.
-    fn serve_first(
-        &mut self,
-        now: Moment,
-        target: RequestTarget,
-        effects: &mut Vec<HostEffect>,
-    ) -> bool {
-        if now < self.hold_until {
-            return false;
-        }
-        let Some(head) = self.queue.first(target) else {
-            return false;
-        };
-        let offers = self.offers(target);
-        let Some(upstream) = self.tracker.choose(now, &offers, &mut self.rng) else {
-            return false;
-        };
-        self.queue.remove(target, head);
-        self.dispatch(head.request, upstream, offers.len(), effects);
-        true
-    }
-
-    fn offers(&self, target: RequestTarget) -> Vec<UpstreamOffer> {
-        let keys: &[UpstreamKey] = match target {
-            RequestTarget::Asset(asset) => self.view.ready(asset),
-            RequestTarget::Service(key) => {
-                self.catalog.services.get(key).map_or(&[], |service| &service.instances)
-            }
-        };
-        let mut offers = Vec::with_capacity(keys.len());
-        for key in keys {
-            let Some(record) = self.catalog.upstreams.get(*key) else {
-                continue;
-            };
-            if self.members.upstream_accepts(&self.catalog, *key) {
-                let local = record.zone == self.me.zone;
-                offers.push(UpstreamOffer { key: *key, slots: record.slots, local });
-            }
-        }
-        offers
-    }
-
-    fn dispatch(
-        &mut self,
-        key: RequestKey,
-        upstream: UpstreamKey,
-        offered: usize,
-        effects: &mut Vec<HostEffect>,
-    ) {
-        let request = &mut self.requests[key];
-        request.stage = RequestStage::Dispatched(upstream);
-        request.attempts += 1;
-        let (ticket, attempt, target) = (request.ticket, request.attempts, request.target);
-        let rank = request.rank;
-        if attempt == 1 {
-            self.retries.earn();
-        }
-        self.tracker.dispatched(upstream);
-        *self.running.entry(target).or_default() += 1;
-        let (subject, asset) = match target {
-            RequestTarget::Asset(asset) => {
-                self.used.entry(asset).or_default();
-                let name = self.catalog.assets[asset].name.clone();
-                (name.clone(), name)
-            }
-            RequestTarget::Service(key) => (self.catalog.services[key].name.clone(), String::new()),
-        };
-        effects.push(HostEffect::Note(DecisionNote {
-            kind: DecisionKind::Route,
-            ticket: Some(ticket),
-            subject,
-            choice: self.catalog.upstreams[upstream].name.clone(),
-            reason: if attempt == 1 { "least expected load" } else { "retry" },
-            alternatives: offered.saturating_sub(1),
-        }));
-        effects.push(HostEffect::Dispatch { request: key, attempt, ticket, upstream, asset, rank });
-    }
-
     /// Refuses a request and ends it, unless it must go on without its caller.
     pub(super) fn refuse(
         &mut self,
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -1,9 +1,9 @@
 //! The reducer over all events of one entry host.
 
 mod attempts;
-mod budget;
 mod callers;
 mod calls;
+mod dispatch;
 mod links;
 mod names;
 mod neighbours;
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -35,6 +35,8 @@
 use crate::request::RequestKey;
 use crate::request::RequestTarget;
 use crate::request::RequestTicket;
+use crate::retry::RetryBudget;
+use crate::routing::ReplicaHolds;
 use crate::routing::ReplicaView;
 use crate::routing::UpstreamTracker;
 use crate::store::CallId;
@@ -42,7 +44,6 @@
 use crate::time::Moment;
 use crate::timing::TimingRules;
 
-use super::budget::RetryBudget;
 use super::calls::CallLedger;
 use super::links::PeerLink;
 use super::neighbours::NeighbourLink;
@@ -86,6 +87,10 @@
     /// Requests running at upstreams, of each target that has any.
     pub(super) running: BTreeMap<RequestTarget, usize>,
     pub(super) retries: RetryBudget,
+    /// Replicas that refused requests although they are said to be ready.
+    pub(super) holds: ReplicaHolds,
+    /// Replicas that refused requests and are being tried again by one.
+    pub(super) trials: BTreeSet<(AssetKey, UpstreamKey)>,
     pub(super) ledger: CallLedger,
     pub(super) registry: CallRegistry,
     pub(super) lease: LeaseState,
@@ -134,6 +139,7 @@
         let table_seed = xxh3_64_with_seed(me.name.as_bytes(), me.incarnation);
         Self {
             me,
+            retries: RetryBudget::new(timing.retries.clone()),
             timing,
             catalog: InventoryCatalog::default(),
             configuration: ConfigurationState::default(),
@@ -146,7 +152,8 @@
             deadlines: BTreeSet::new(),
             by_caller: HashMap::new(),
             running: BTreeMap::new(),
-            retries: RetryBudget::default(),
+            holds: ReplicaHolds::default(),
+            trials: BTreeSet::new(),
             ledger: CallLedger::default(),
             registry: CallRegistry::default(),
             lease: LeaseState::new(now),
@@ -256,6 +263,7 @@
             self.next_sweep = now.after(self.timing.peer_timeout);
             self.members.forget_before(now.before(self.timing.peer_timeout * 8));
             self.wanted_until.retain(|_, until| *until > now);
+            self.holds.sweep(now);
         }
     }
 
--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`event`], [`effect`]: what it takes in and gives out.
 //! - [`admission`]: requests and the queue of those that wait.
 //! - [`routing`]: placement as routers see it; load and health of upstreams.
+//! - [`retry`]: how many retries a host may send.
 //! - [`ledger`]: records that keep a call from running twice.
 //! - [`lease`]: who leads a zone.
 //! - [`placement`]: what a leader loads and unloads.
@@ -27,6 +28,7 @@
 pub mod placement;
 pub mod registry;
 pub mod request;
+pub mod retry;
 pub mod routing;
 pub mod store;
 pub mod table;
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -117,6 +117,11 @@
         names.filter_map(|name| self.members.get(name))
     }
 
+    /// Other entry hosts that are listed or were heard.
+    pub fn count(&self) -> usize {
+        self.members.len()
+    }
+
     /// When any host of `scope` was last heard.
     pub fn scope_heard(&self, scope: &str) -> Option<Moment> {
         self.records_in(scope).filter_map(|record| record.last_heard).max()
--- a/components/decisions/src/placement/choose.rs
+++ b/components/decisions/src/placement/choose.rs
@@ -20,6 +20,15 @@
 /// Part of the value of an asset that one of several replicas of it has.
 const SPARE_VALUE: f64 = 0.25;
 
+/// Time until an order is answered.
+const ANSWER_TIME: Duration = Duration::from_millis(3);
+/// Time until a load ends whose duration is not known.
+const UNKNOWN_LOAD: Duration = Duration::from_secs(1);
+/// Time until an unload ends when nothing runs, in seconds.
+const UNLOAD_TIME: f64 = 0.08;
+/// Requests a second below which an asset's next request is far away.
+const RARE_RATE: f64 = 0.1;
+
 /// Where an asset could go.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlaceChoice {
@@ -42,6 +51,8 @@
     victims: Vec<AssetKey>,
     /// Expected time until it serves and value of what is lost, in seconds.
     cost: f64,
+    /// The engine takes the order now.
+    free: bool,
 }
 
 /// What looking at one engine gave.
@@ -52,9 +63,16 @@
     Unfit,
 }
 
+impl PlaceOffer {
+    fn new(engine: UpstreamKey, victims: Vec<AssetKey>, cost: f64) -> Self {
+        Self { engine, victims, cost, free: true }
+    }
+}
+
 impl PlacementState {
-    /// Chooses the engine that can serve `asset` soonest at the least loss. `urgent` tells whether
-    /// something waits for it; without that nothing is unloaded that is worth more than `worth`.
+    /// Chooses the engine that can serve `asset` soonest at the least loss, which may be one that
+    /// must be waited for. `urgent` tells whether something waits for it; without that nothing is
+    /// unloaded that is worth more than `worth`.
     pub(super) fn choose_place(
         &self,
         context: &PlacementContext<'_>,
@@ -76,6 +94,7 @@
         let others = offers.len().saturating_sub(1);
         let best = offers.into_iter().min_by(|one, other| one.cost.total_cmp(&other.cost));
         match best {
+            Some(offer) if !offer.free => PlaceChoice::Wait,
             Some(offer) if offer.victims.is_empty() => PlaceChoice::Room(offer.engine, others),
             Some(offer) if urgent || offer.cost <= worth => {
                 PlaceChoice::Evict(offer.engine, offer.victims)
@@ -111,12 +130,21 @@
         if !usable {
             return EngineFit::Unfit;
         }
-        if !engine.takes_orders() {
+        if !engine.claimed || engine.settle_at.is_some() {
             return EngineFit::Pending;
         }
-        match record.base {
+        let wait = wait_for(context, engine);
+        let fit = match record.base {
             Some(base) => self.fit_adapter(context, key, engine, asset, base),
             None => self.fit_model(context, key, engine, asset, urgent),
+        };
+        match fit {
+            EngineFit::Offer(offer) => EngineFit::Offer(PlaceOffer {
+                cost: offer.cost + wait.as_secs_f64(),
+                free: wait.is_zero(),
+                ..offer
+            }),
+            other => other,
         }
     }
 
@@ -141,7 +169,7 @@
         let free = memory.saturating_sub(engine.reserved());
         if held < slots && free >= bytes {
             let cost = load + self.crowding(context, key);
-            return EngineFit::Offer(PlaceOffer { engine: key, victims: Vec::new(), cost });
+            return EngineFit::Offer(PlaceOffer::new(key, Vec::new(), cost));
         }
         let cost = load * 2.0 + self.crowding(context, key);
         // The adapter that was used longest ago makes way; a slot is worth as much as any other.
@@ -156,7 +184,7 @@
         {
             let lost = self.usage.rate(context.now, *victim) * load;
             let cost = cost + lost + running_cost(context, replica);
-            return EngineFit::Offer(PlaceOffer { engine: key, victims: vec![*victim], cost });
+            return EngineFit::Offer(PlaceOffer::new(key, vec![*victim], cost));
         }
         let settled = engine.replicas.values().all(|replica| replica.phase == ReplicaPhase::Ready);
         let full = if settled { EngineFit::Crowded } else { EngineFit::Pending };
@@ -165,9 +193,7 @@
         }
         let needed = bytes.saturating_sub(free);
         match self.models_to_evict(context, key, engine, Some(base), needed) {
-            Some((victims, lost)) => {
-                EngineFit::Offer(PlaceOffer { engine: key, victims, cost: cost + lost })
-            }
+            Some((victims, lost)) => EngineFit::Offer(PlaceOffer::new(key, victims, cost + lost)),
             None => full,
         }
     }
@@ -180,22 +206,18 @@
         asset: AssetKey,
         urgent: bool,
     ) -> EngineFit {
-        if engine.next_order > context.now || engine.is_loading_model(context.catalog) {
-            return EngineFit::Pending;
-        }
         let record = &context.catalog.assets[asset];
         let memory = context.catalog.upstreams[key].memory_bytes;
         let reserved = engine.reserved_after_unloads();
         let load = self.load_estimate(context, key, asset).as_secs_f64();
-        let crowding = self.crowding(context, key);
+        let crowding = self.crowding(context, key) + self.blocking(context, engine, load);
         if memory.saturating_sub(reserved) >= record.bytes {
-            let cost = load + crowding;
-            return EngineFit::Offer(PlaceOffer { engine: key, victims: Vec::new(), cost });
+            return EngineFit::Offer(PlaceOffer::new(key, Vec::new(), load + crowding));
         }
         let needed = record.bytes - memory.saturating_sub(reserved);
         if let Some((victims, lost)) = self.models_to_evict(context, key, engine, None, needed) {
-            let cost = load + crowding + lost;
-            return EngineFit::Offer(PlaceOffer { engine: key, victims, cost });
+            let cost = load + crowding + lost + UNLOAD_TIME;
+            return EngineFit::Offer(PlaceOffer::new(key, victims, cost));
         }
         let settled = engine.replicas.values().all(|replica| replica.phase == ReplicaPhase::Ready);
         if urgent && !settled { EngineFit::Pending } else { EngineFit::Unfit }
@@ -284,7 +306,28 @@
         let rate = self.usage.rate(context.now, asset);
         let reload = self.load_estimate(context, engine, asset).as_secs_f64();
         let share = if self.useful(context, asset) > 1 { SPARE_VALUE } else { 1.0 };
-        rate * reload * share + running_cost(context, replica)
+        // The next request waits for a reload, and so do those that come meanwhile.
+        let next = reload * rate / (rate + RARE_RATE);
+        (next + rate * reload * reload / 2.0) * share + running_cost(context, replica)
+    }
+
+    /// Waiting of requests for adapters that an order of `load` seconds causes: the engine loads no
+    /// adapter meanwhile.
+    fn blocking(&self, context: &PlacementContext<'_>, engine: &EngineState, load: f64) -> f64 {
+        let serving =
+            |base: Option<AssetKey>| base.is_some_and(|base| engine.replicas.contains_key(&base));
+        let requests: f64 = self
+            .usage
+            .assets()
+            .filter(|asset| {
+                context.catalog.assets.get(*asset).is_some_and(|record| serving(record.base))
+            })
+            .map(|asset| {
+                let base = context.catalog.assets[asset].base.unwrap_or(asset);
+                self.usage.rate(context.now, asset) / self.useful(context, base).max(1) as f64
+            })
+            .sum();
+        requests * load * load / 2.0
     }
 
     /// How much the engine has to do already, in seconds that a request there waits longer.
@@ -339,3 +382,24 @@
     let assets = adapters.iter().chain(std::iter::once(&model));
     assets.filter_map(|asset| engine.replicas.get(asset)).map(|replica| replica.bytes).sum()
 }
+
+/// Expected time until the engine takes an order: it carries out one at a time.
+fn wait_for(context: &PlacementContext<'_>, engine: &EngineState) -> Duration {
+    let mut wait = engine.next_order.since(context.now);
+    if engine.open.is_some() || engine.lost.is_some() {
+        wait = wait.max(ANSWER_TIME);
+    }
+    for (asset, replica) in &engine.replicas {
+        // Adapters load beside anything else.
+        if context.catalog.assets.get(*asset).is_some_and(|record| record.base.is_some()) {
+            continue;
+        }
+        let left = match replica.phase {
+            ReplicaPhase::Ordered | ReplicaPhase::Loading(None) => UNKNOWN_LOAD,
+            ReplicaPhase::Loading(Some(due)) => due.since(context.now),
+            _ => continue,
+        };
+        wait = wait.max(left);
+    }
+    wait
+}
--- a/components/decisions/src/placement/growth.rs
+++ b/components/decisions/src/placement/growth.rs
@@ -8,9 +8,9 @@
 use super::state::PlacementContext;
 use super::state::PlacementState;
 
-/// Replicas for an asset that causes all the work, as a multiple of the engines: above one, as
-/// engines serve several assets and demand comes in bursts.
-const REPLICA_HEADROOM: f64 = 1.2;
+/// Replicas for an asset that causes all the work, as a multiple of the engines: below one, as
+/// rare assets need their places too.
+const REPLICA_HEADROOM: f64 = 0.8;
 /// Work of a request beside reading its prompt, in prompt tokens.
 const REQUEST_TOKENS: f64 = 1_000.0;
 /// What one more replica saves of the waiting for each request, in seconds.
--- /dev/null
+++ b/components/decisions/src/retry/mod.rs
@@ -0,0 +1,6 @@
+//! How many retries a host may add to the load of a service.
+
+mod budget;
+
+pub use budget::RetryBudget;
+pub use budget::RetryRules;
--- a/components/decisions/src/routing/tracker.rs
+++ b/components/decisions/src/routing/tracker.rs
@@ -6,6 +6,7 @@
 use rand::rngs::SmallRng;
 use slotmap::SecondaryMap;
 use wagtailledge_inventory::UpstreamKey;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::time::Moment;
 
@@ -18,6 +19,11 @@
 /// Time that an upstream which said "busy" gets no new request from this host.
 const BUSY_PAUSE: Duration = Duration::from_millis(50);
 
+/// How much busier than the average an upstream may be and still get requests by affinity.
+const LOAD_BOUND: f64 = 1.25;
+/// The same, in requests, so that little load does not count.
+const LOAD_SLACK: f64 = 3.0;
+
 /// What one router knows of one upstream.
 #[derive(Debug, Clone, Default)]
 struct UpstreamStatus {
@@ -44,6 +50,8 @@
     pub slots: u32,
     /// Whether it is in the host's own zone.
     pub local: bool,
+    /// Hash of its name, the same on all hosts.
+    pub digest: u64,
 }
 
 /// Load and health of all upstreams.
@@ -69,16 +77,22 @@
         status.closed_until <= now && status.inflight < slots
     }
 
-    /// Chooses among open upstreams: the own zone first, then the less loaded of two drawn at
-    /// random, so that hosts with the same lagged reports do not all choose the same one.
+    /// Chooses among open upstreams. Requests with the same `affinity` go to the same one as long
+    /// as it is not much busier than the others. Else the own zone goes first, then the less loaded
+    /// of two drawn at random, so that hosts with the same lagged reports do not all choose the
+    /// same one.
     pub fn choose(
         &self,
         now: Moment,
         offers: &[UpstreamOffer],
+        affinity: Option<u64>,
         rng: &mut SmallRng,
     ) -> Option<UpstreamKey> {
         let open: Vec<&UpstreamOffer> =
             offers.iter().filter(|offer| self.is_open(now, offer)).collect();
+        if let Some(affinity) = affinity.filter(|_| open.len() > 1) {
+            return self.choose_by_affinity(&open, affinity);
+        }
         let local: Vec<&UpstreamOffer> = open.iter().copied().filter(|offer| offer.local).collect();
         let pool = if local.is_empty() { open } else { local };
         match pool.len() {
@@ -94,6 +108,18 @@
         }
     }
 
+    /// The first upstream in the order that `affinity` gives all hosts alike, passing over those
+    /// that are much busier than the average.
+    fn choose_by_affinity(&self, open: &[&UpstreamOffer], affinity: u64) -> Option<UpstreamKey> {
+        let total: u32 = open.iter().map(|offer| self.expected_load(offer.key)).sum();
+        let average = f64::from(total) / open.len() as f64;
+        let bound = average * LOAD_BOUND + LOAD_SLACK;
+        let place =
+            |offer: &&&UpstreamOffer| xxh3_64_with_seed(&offer.digest.to_le_bytes(), affinity);
+        let light = open.iter().filter(|offer| f64::from(self.expected_load(offer.key)) <= bound);
+        light.max_by_key(place).map(|offer| offer.key)
+    }
+
     /// Requests expected there: the lagged report and what this host sent since.
     pub fn expected_load(&self, key: UpstreamKey) -> u32 {
         let status = self.statuses.get(key);
@@ -172,7 +198,7 @@
     fn can_set_aside_and_probe() {
         let mut keys: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
         let key = keys.insert(());
-        let offer = UpstreamOffer { key, slots: 8, local: true };
+        let offer = UpstreamOffer { key, slots: 8, local: true, digest: 1 };
         let mut tracker = UpstreamTracker::default();
         let start = Moment(1_000_000);
         assert!(!tracker.failed(start, key));
@@ -194,11 +220,11 @@
         let (near, nearer, far) = (keys.insert(()), keys.insert(()), keys.insert(()));
         let mut tracker = UpstreamTracker::default();
         tracker.reported(near, 9);
-        let offer = |key, local| UpstreamOffer { key, slots: 8, local };
+        let offer = |key, local| UpstreamOffer { key, slots: 8, local, digest: 1 };
         let offers = [offer(near, true), offer(nearer, true), offer(far, false)];
         let mut rng = SmallRng::seed_from_u64(1);
         for _ in 0..100 {
-            assert_eq!(tracker.choose(Moment(0), &offers, &mut rng), Some(nearer));
+            assert_eq!(tracker.choose(Moment(0), &offers, None, &mut rng), Some(nearer));
         }
     }
 }
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use crate::retry::RetryRules;
+
 /// Durations of one deployment; all hosts must use the same.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct TimingRules {
     /// Between two notices of a leader to a host that has nothing new to learn.
     pub heartbeat: Duration,
@@ -35,6 +37,8 @@
     pub configuration_read: Option<Duration>,
     /// A request still waiting this long before its deadline is refused.
     pub refusal_lead: Duration,
+    /// Retries that all hosts together may add.
+    pub retries: RetryRules,
 }
 
 impl Default for TimingRules {
@@ -55,6 +59,7 @@
             eviction_idle: Duration::from_secs(5),
             configuration_read: Some(Duration::from_secs(1)),
             refusal_lead: Duration::from_millis(40),
+            retries: RetryRules::default(),
         }
     }
 }
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -20,8 +20,10 @@
 
 use crate::calls::PendingStream;
 use crate::dispatch::DispatchPlan;
+use crate::notes::describe_order;
 use crate::notes::kind_name;
 use crate::notes::log_decision;
+use crate::notes::log_order;
 use crate::shell::EntryShell;
 
 impl EntryShell {
@@ -114,7 +116,9 @@
             let now = shell.now();
             now < valid_until && shell.read(|reducer| reducer.may_order(now, token))
         });
+        let upstream = target.upstream.clone();
         let request = OrderRequest { token, expected: order.expected, order: order.kind };
+        let described = describe_order(&request.order);
         let outcome = self.parts.orders.send(target, request, may_write);
         let shell = Rc::clone(self);
         actix_rt::spawn(async move {
@@ -122,6 +126,7 @@
             if outcome == OrderOutcome::NotSent {
                 shell.parts.metrics.count("order.not_sent");
             }
+            log_order(&shell.me.name, &upstream, &described, order.expected, &outcome);
             shell.submit(HostEvent::Order(order.key, outcome));
         });
     }
--- a/components/entry/src/notes.rs
+++ b/components/entry/src/notes.rs
@@ -3,6 +3,8 @@
 use log::info;
 use wagtailledge_decisions::effect::DecisionKind;
 use wagtailledge_decisions::effect::DecisionNote;
+use wagtailledge_decisions::order::OrderKind;
+use wagtailledge_decisions::order::OrderOutcome;
 
 /// Name of the log target for decisions.
 const TARGET: &str = "decision";
@@ -37,3 +39,41 @@
         DecisionKind::Health => "health",
     }
 }
+
+/// Words for what an order asks for.
+pub fn describe_order(kind: &OrderKind) -> String {
+    match kind {
+        OrderKind::Claim => "list".to_owned(),
+        OrderKind::LoadModel { asset, .. } | OrderKind::LoadAdapter { asset, .. } => {
+            format!("load {asset}")
+        }
+        OrderKind::Unload { asset } => format!("unload {asset}"),
+    }
+}
+
+/// Logs what an engine made of an order.
+pub fn log_order(
+    host: &str,
+    upstream: &str,
+    order: &str,
+    expected: Option<u64>,
+    outcome: &OrderOutcome,
+) {
+    let outcome = match outcome {
+        OrderOutcome::Accepted(_) => "accepted",
+        OrderOutcome::Refused(_) => "refused",
+        OrderOutcome::Started => "started",
+        OrderOutcome::Unchanged => "unchanged",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::StaleToken => "stale token",
+        OrderOutcome::Gone => "gone",
+        OrderOutcome::NotSent => "not sent",
+        OrderOutcome::Lost => "lost",
+    };
+    let expected = expected.map_or(-1, |expected| expected as i64);
+    info!(
+        target: "order",
+        host = host, upstream = upstream, expected = expected, outcome = outcome;
+        "{upstream}: {order}: {outcome}"
+    );
+}
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -14,6 +14,7 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::HostStamp;
 use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::retry::RetryRules;
 use wagtailledge_frontend::CallerGate;
 use wagtailledge_frontend::FrontLimits;
 use wagtailledge_frontend::FrontServer;
@@ -149,6 +150,11 @@
         adapters: HostAdapters,
     ) -> Result<Self, StartError> {
         let mut timing = timing_rules(&settings.timing);
+        timing.retries = RetryRules {
+            ratio: settings.retries.ratio,
+            allowance: settings.retries.allowance,
+            window: settings.retries.window.0,
+        };
         if settings.platform.protocol == PlatformProtocol::Store {
             timing.configuration_read = None;
         }
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -219,7 +219,7 @@
 
 impl Default for RetrySection {
     fn default() -> Self {
-        Self { ratio: 0.1, allowance: 20, window: TimeSpan(Duration::from_secs(10)) }
+        Self { ratio: 0.1, allowance: 160, window: TimeSpan(Duration::from_secs(10)) }
     }
 }
 
