--- a/components/entry/src/notes.rs
+++ b/components/entry/src/notes.rs
@@ -70,10 +70,10 @@
         OrderOutcome::NotSent => "not sent",
         OrderOutcome::Lost => "lost",
     };
-    let expected = expected.map_or(-1, |expected| expected as i64);
+    let expected = expected.map_or_else(String::new, |expected| expected.to_string());
     info!(
         target: "order",
-        host = host, upstream = upstream, expected = expected, outcome = outcome;
+        host = host, upstream = upstream, expected = expected.as_str(), outcome = outcome;
         "{upstream}: {order}: {outcome}"
     );
 }
