Mend LIMIT, SIGHUP and a shell that stopped for good

Causes, each from a trace: - LIMIT: the leader took an engine's published entry, older than its own orders while the store was away, for what the engine held, and loaded on that belief. Published entries now only confirm loads; where they differ the engine is asked. - LOST, exits: SIGHUP ended the process. An answer that is not passed on is dropped at once (tests in components/entry/tests/departures.rs, failing before). Ruled out for CONFIG: missed watch events and the digest of the configuration; both were right.

--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -13,6 +13,7 @@
 use crate::request::RecordedAnswer;
 use crate::request::RequestKey;
 use crate::request::RequestTicket;
+use crate::retry::RetryRules;
 use crate::store::CallId;
 use crate::store::StoreOutcome;
 use crate::time::Moment;
@@ -131,6 +132,8 @@
     Registry(Vec<RegistryChange>),
     /// The host list was read; the question was asked at the moment given.
     Hosts(Moment, Vec<ListedHost>),
+    /// The settings name other limits on retries.
+    RetryRules(RetryRules),
     /// This process was told to end.
     Drain,
 }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -218,6 +218,7 @@
             HostEvent::Members(hosts) => self.members.apply_members(&hosts),
             HostEvent::Registry(changes) => self.registry_changed(now, changes, effects),
             HostEvent::Hosts(asked, hosts) => self.hosts_listed(now, asked, &hosts, effects),
+            HostEvent::RetryRules(rules) => self.retries.set_rules(rules),
             HostEvent::Drain => {
                 self.draining = true;
                 self.lease.drain();
--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -237,8 +237,9 @@
         loads
     }
 
-    /// Takes in what the engine published of itself, which may be out of date. Returns whether
-    /// that changed anything.
+    /// Takes in what the engine published of itself. That may be out of date by as long as the
+    /// platform was away, so it only confirms loads; where it differs otherwise the engine is to be
+    /// asked. Returns whether routers should be told something.
     pub fn apply_published(
         &mut self,
         now: Moment,
@@ -254,23 +255,18 @@
         let held = listing.held.iter();
         let listed: BTreeSet<AssetKey> =
             held.filter_map(|item| catalog.asset_named(&item.asset)).collect();
-        let before = self.summary();
+        let mut confirmed = false;
         for (asset, replica) in &mut self.replicas {
             if listed.contains(asset) && matches!(replica.phase, ReplicaPhase::Loading(_)) {
                 *replica = ReplicaEntry { phase: ReplicaPhase::Ready, since: now, ..*replica };
+                confirmed = true;
             }
         }
-        // Right after an order the engine may have published what was before it.
-        if self.changed <= now.before(LISTING_LAG) && self.open.is_none() && self.lost.is_none() {
-            self.replicas.retain(|asset, _| listed.contains(asset));
-            for asset in listed {
-                let bytes = catalog.assets[asset].bytes;
-                let phase = ReplicaPhase::Ready;
-                let entry = ReplicaEntry { phase, bytes, since: now, used: now };
-                self.replicas.entry(asset).or_insert(entry);
-            }
+        let settled = self.changed <= now.before(LISTING_LAG);
+        if settled && !self.replicas.keys().eq(listed.iter()) {
+            self.next_claim = self.next_claim.min(now);
         }
-        self.summary() != before
+        confirmed
     }
 
     /// State of `asset` for routers; `None` when it is not there.
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -223,6 +223,10 @@
                     engine.sequence = engine.sequence.map(|sequence| sequence + 1);
                 }
                 engine.replicas.remove(&asset);
+                if !adapter {
+                    // What was believed of this engine was wrong: nothing is loaded on that belief.
+                    engine.next_claim = context.now;
+                }
             }
             _ => engine.set_phase(asset, context.now, ReplicaPhase::Ready),
         }
--- a/components/decisions/src/retry/budget.rs
+++ b/components/decisions/src/retry/budget.rs
@@ -54,6 +54,14 @@
         Self { rules, services: BTreeMap::new() }
     }
 
+    /// Takes over other limits; counting starts anew when the window changes.
+    pub fn set_rules(&mut self, rules: RetryRules) {
+        if rules.window != self.rules.window {
+            self.services.clear();
+        }
+        self.rules = rules;
+    }
+
     fn number(&self, now: Moment) -> u64 {
         let part = (self.rules.window.as_micros() as u64 / PARTS).max(1);
         now.0 / part
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -118,8 +118,10 @@
         Some(live.call.arrived.elapsed())
     }
 
-    /// Forgets calls that the reducer is done with.
-    pub fn retain(&mut self, held: impl Fn(RequestTicket) -> bool) {
-        self.live.retain(|ticket, _| held(*ticket));
+    /// Takes out the calls that the reducer is done with.
+    pub fn take_ended(&mut self, held: impl Fn(RequestTicket) -> bool) -> Vec<LiveCall> {
+        let ended: Vec<RequestTicket> =
+            self.live.keys().copied().filter(|ticket| !held(*ticket)).collect();
+        ended.iter().filter_map(|ticket| self.live.remove(ticket)).collect()
     }
 }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -132,6 +132,9 @@
                 CallEvent::Started(head) => {
                     shell.begin_stream(plan.ticket, head.status, head.headers);
                     shell.submit(HostEvent::AttemptStarted(plan.request, plan.attempt));
+                    // Nobody waits for an answer that was not passed on.
+                    let unwanted = shell.take_pending(plan.ticket);
+                    drop(unwanted);
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Part(part, last) => {
@@ -171,4 +174,9 @@
         live.sender = Some(sender);
         live.pending = Some(PendingStream { status, headers, parts });
     }
+
+    /// Takes back an answer that has begun and was not passed on.
+    fn take_pending(&self, ticket: RequestTicket) -> Option<PendingStream> {
+        self.calls.borrow_mut().get_mut(ticket)?.pending.take()
+    }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub use adapters::HostAdapters;
 pub use adapters::HostFront;
 pub use adapters::etcd_adapters;
+pub use gate::ShellGate;
 pub use run::EntryHost;
 pub use run::StartError;
 pub use shell::EntryShell;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts an entry host and ends it.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +9,7 @@
 
 use actix_rt::time::interval;
 use actix_rt::time::sleep;
+use actix_rt::time::timeout;
 use log::info;
 use log::warn;
 use tokio::sync::mpsc;
@@ -25,6 +27,7 @@
 use wagtailledge_peers::PeerServer;
 use wagtailledge_peers::PeerTraffic;
 use wagtailledge_settings::HostSettings;
+use wagtailledge_settings::file::DrainSection;
 use wagtailledge_settings::file::PlatformProtocol;
 use wagtailledge_settings::file::TimingSection;
 
@@ -40,6 +43,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Between two sweeps and reports of gauges.
 const SWEEP: Duration = Duration::from_secs(1);
+/// The process ends this long before the grace is over.
+const END_MARGIN: Duration = Duration::from_millis(300);
 /// Longest wait for callers to take the rest of their answers.
 const FLUSH_LIMIT: Duration = Duration::from_secs(30);
 /// Longest wait for outcomes to be recorded while the key-value service is away.
@@ -110,7 +115,7 @@
     shell: Rc<EntryShell>,
     front: Rc<CallerServer>,
     peers: PeerServer,
-    notice: Duration,
+    drain: Cell<DrainSection>,
 }
 
 /// Durations from the settings, with defaults for those not given.
@@ -150,11 +155,7 @@
         adapters: HostAdapters,
     ) -> Result<Self, StartError> {
         let mut timing = timing_rules(&settings.timing);
-        timing.retries = RetryRules {
-            ratio: settings.retries.ratio,
-            allowance: settings.retries.allowance,
-            window: settings.retries.window.0,
-        };
+        timing.retries = retry_rules(settings);
         if settings.platform.protocol == PlatformProtocol::Store {
             timing.configuration_read = None;
         }
@@ -189,7 +190,15 @@
             host = shell.me.name.as_str(), zone = shell.me.zone.as_str();
             "callers on {}, peers on {}", front.address(), peers.address()
         );
-        Ok(Self { shell, front, peers, notice: settings.drain.notice.0 })
+        let drain = Cell::new(settings.drain);
+        Ok(Self { shell, front, peers, drain })
+    }
+
+    /// Takes over what may change while a host runs: `[retries]` and `[drain]`.
+    pub fn apply(&self, settings: &HostSettings) {
+        info!("settings reloaded: retries {:?}, drain {:?}", settings.retries, settings.drain);
+        self.drain.set(settings.drain);
+        self.shell.submit(HostEvent::RetryRules(retry_rules(settings)));
     }
 
     /// The shell of this host.
@@ -208,10 +217,23 @@
     }
 
     /// Leaves without cutting anything off: readiness fails and the lease is given up at once,
-    /// listening ends after the notice, and requests in progress end by themselves.
+    /// listening ends after the notice, and requests in progress end by themselves. After the
+    /// grace the process ends whatever still runs.
     pub async fn drain(self) {
+        let drain = self.drain.get();
+        let grace = drain.grace.0.saturating_sub(END_MARGIN);
+        if timeout(grace, self.leave(drain.notice.0)).await.is_err() {
+            let status = self.shell.status();
+            warn!(
+                "ended with {} requests open and {} outcomes not recorded: grace is over",
+                status.requests, status.unrecorded
+            );
+        }
+    }
+
+    async fn leave(&self, notice: Duration) {
         self.shell.submit(HostEvent::Drain);
-        sleep(self.notice).await;
+        sleep(notice).await;
         self.front.stop();
         while self.shell.status().requests > 0 {
             sleep(TICK).await;
@@ -231,6 +253,14 @@
     }
 }
 
+fn retry_rules(settings: &HostSettings) -> RetryRules {
+    RetryRules {
+        ratio: settings.retries.ratio,
+        allowance: settings.retries.allowance,
+        window: settings.retries.window.0,
+    }
+}
+
 async fn start_front(
     settings: &HostSettings,
     front: HostFront,
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -122,8 +122,12 @@
 
     /// Forgets calls that have ended.
     pub fn sweep(&self) {
-        let reducer = self.reducer.borrow();
-        self.calls.borrow_mut().retain(|ticket| reducer.holds(ticket));
+        let ended = {
+            let reducer = self.reducer.borrow();
+            self.calls.borrow_mut().take_ended(|ticket| reducer.holds(ticket))
+        };
+        // What is dropped here may submit events, for which nothing may be borrowed.
+        drop(ended);
         self.recent.borrow_mut().retain(|_, used| used.elapsed() < LOAD_INTEREST);
     }
 
--- /dev/null
+++ b/components/entry/tests/departures.rs
@@ -0,0 +1,224 @@
+//! Callers that leave while their call is under way.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use futures::future::ready;
+use hyper::HeaderMap;
+use hyper::Method;
+use tokio::sync::Notify;
+use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::HostStamp;
+use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::configuration::to_items;
+use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::event::ListedHost;
+use wagtailledge_decisions::event::ListedState;
+use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::order::OrderOutcome;
+use wagtailledge_decisions::request::PromptShape;
+use wagtailledge_decisions::store::StoreOp;
+use wagtailledge_decisions::store::StoreOutcome;
+use wagtailledge_entry::EntryShell;
+use wagtailledge_entry::ShellGate;
+use wagtailledge_entry::ShellParts;
+use wagtailledge_entry::metrics::HostMetrics;
+use wagtailledge_frontend::CallTarget;
+use wagtailledge_frontend::CallerCall;
+use wagtailledge_frontend::CallerGate;
+use wagtailledge_inventory::parse::parse_inventory;
+use wagtailledge_keyvalue::KeyValueService;
+use wagtailledge_peers::MessageSeal;
+use wagtailledge_peers::PeerClient;
+use wagtailledge_upstreams::AnswerHead;
+use wagtailledge_upstreams::CallEvent;
+use wagtailledge_upstreams::OrderRequest;
+use wagtailledge_upstreams::OrderSender;
+use wagtailledge_upstreams::OrderTarget;
+use wagtailledge_upstreams::UpstreamCall;
+use wagtailledge_upstreams::UpstreamCaller;
+
+/// Longest wait for anything to settle; tests end earlier.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// More parts than are held for a slow caller.
+const PARTS: usize = 40;
+
+const INVENTORY: &str = r#"
+[[class]]
+name = "control"
+rank = 0
+deadline = "60s"
+[[service]]
+name = "fans"
+class = "control"
+[[service.instance]]
+name = "fans-1"
+zone = "east"
+address = "127.0.0.1:9"
+[[route]]
+name = "fans"
+host = "fans.example"
+prefix = "/"
+kind = "non-idempotent"
+timeout = "60s"
+objective = "1s"
+rank = 0
+attempts = 1
+to = [{ service = "fans", weight = 1 }]
+"#;
+
+#[derive(Debug)]
+struct NoStore;
+
+impl KeyValueService for NoStore {
+    fn call(&self, _: StoreOp) -> LocalBoxFuture<'static, StoreOutcome> {
+        ready(StoreOutcome::Failed).boxed_local()
+    }
+}
+
+#[derive(Debug)]
+struct NoOrders;
+
+impl OrderSender for NoOrders {
+    fn send(
+        &self,
+        _: OrderTarget,
+        _: OrderRequest,
+        _: Box<dyn Fn() -> bool>,
+    ) -> LocalBoxFuture<'static, OrderOutcome> {
+        ready(OrderOutcome::NotSent).boxed_local()
+    }
+}
+
+/// Begins a long answer once it is told to.
+#[derive(Debug, Default)]
+struct SlowUpstream {
+    begin: Notify,
+    ended: Cell<bool>,
+}
+
+impl UpstreamCaller for SlowUpstream {
+    fn call<'a>(
+        &'a self,
+        _: UpstreamCall,
+        on_event: &'a mut dyn FnMut(CallEvent) -> LocalBoxFuture<'static, bool>,
+    ) -> LocalBoxFuture<'a, AttemptOutcome> {
+        async move {
+            self.begin.notified().await;
+            let head = AnswerHead { status: 200, headers: HeaderMap::new() };
+            let mut wanted = on_event(CallEvent::Started(head)).await;
+            for _ in 0..PARTS {
+                wanted = wanted && on_event(CallEvent::Part(Bytes::from("part"), None)).await;
+            }
+            self.ended.set(true);
+            if wanted { AttemptOutcome::Streamed } else { AttemptOutcome::Broken }
+        }
+        .boxed_local()
+    }
+
+    fn load(&self, _: SocketAddr) -> LocalBoxFuture<'static, Option<UpstreamLoad>> {
+        ready(None).boxed_local()
+    }
+
+    fn sweep(&self) {}
+}
+
+fn shell(upstream: &Rc<SlowUpstream>) -> Rc<EntryShell> {
+    let parts = ShellParts {
+        store: Rc::new(NoStore),
+        upstreams: Rc::<SlowUpstream>::clone(upstream),
+        orders: Rc::new(NoOrders),
+        peers: PeerClient::new(MessageSeal::new("a secret of this test")),
+        metrics: Rc::new(HostMetrics::new(None).unwrap()),
+        max_answer: 16,
+        stream_pause: PATIENCE,
+    };
+    let me = HostStamp {
+        name: "east-1".to_owned(),
+        zone: "east".to_owned(),
+        scope: "east".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        incarnation: 1,
+    };
+    let shell = EntryShell::new(parts, me, TimingRules::default(), 1);
+    let document = parse_inventory("test", INVENTORY).unwrap();
+    shell.submit(HostEvent::Inventory(1, to_items(&document)));
+    let listed = ListedHost {
+        name: "fans-1".to_owned(),
+        zone: "east".to_owned(),
+        scope: "east".to_owned(),
+        peer_address: String::new(),
+        state: ListedState::Live,
+    };
+    shell.submit(HostEvent::Hosts(shell.now(), vec![listed]));
+    shell
+}
+
+fn call() -> CallerCall {
+    CallerCall {
+        request_id: "one".to_owned(),
+        target: CallTarget::Route { host: "fans.example".to_owned(), asset: None },
+        method: Method::POST,
+        path: "/start".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        arrived: Instant::now(),
+        deadline: None,
+        prompt: PromptShape::default(),
+        idempotency_key: None,
+        caller: 1,
+    }
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "waited too long");
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn can_end_a_call_whose_answer_begins_after_its_caller_left() {
+    actix_rt::System::new().block_on(async {
+        let upstream = Rc::new(SlowUpstream::default());
+        let shell = shell(&upstream);
+        let gate = ShellGate { shell: Rc::clone(&shell) };
+        let mut reply = gate.serve(call());
+        assert!((&mut reply).now_or_never().is_none());
+        drop(reply);
+        // It may not run twice, so it goes on without its caller.
+        assert_eq!(shell.status().requests, 1);
+        upstream.begin.notify_one();
+        until(|| shell.status().requests == 0).await;
+        assert!(upstream.ended.get());
+        shell.sweep();
+        shell.submit(HostEvent::Tick);
+    });
+}
+
+#[test]
+fn can_forget_a_call_that_holds_an_answer_nobody_took() {
+    actix_rt::System::new().block_on(async {
+        let upstream = Rc::new(SlowUpstream::default());
+        let shell = shell(&upstream);
+        let gate = ShellGate { shell: Rc::clone(&shell) };
+        let reply = gate.serve(call());
+        let task = actix_rt::spawn(async move { reply.await });
+        upstream.begin.notify_one();
+        // The answer is passed on to a caller that never reads it, and who leaves then.
+        let reply = task.await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        shell.sweep();
+        drop(reply);
+        until(|| shell.status().requests == 0).await;
+        shell.sweep();
+        shell.submit(HostEvent::Tick);
+    });
+}
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -15,7 +15,7 @@
 const MIN_SECRET_BYTES: usize = 16;
 
 /// `[host]`: who this host is.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct IdentitySection {
     /// Unique name, as the platform's host list gives it.
@@ -28,7 +28,7 @@
 }
 
 /// `[listen]`: where this host listens.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSection {
     /// IP address and port for callers.
@@ -55,7 +55,7 @@
 }
 
 /// `[platform]`: the platform's services.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSection {
     /// How they are spoken to.
@@ -82,7 +82,7 @@
 }
 
 /// `[security]`: what keeps strangers out.
-#[derive(Clone, Deserialize, Default)]
+#[derive(Clone, PartialEq, Deserialize, Default)]
 #[serde(deny_unknown_fields)]
 pub struct SecuritySection {
     /// Secret that all entry hosts and operators share. Without it messages are not sealed, which
@@ -104,7 +104,7 @@
 }
 
 /// `[limits]`: what one caller may cost.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSection {
     /// Connections at once.
@@ -120,7 +120,7 @@
 }
 
 /// `[drain]`: how this host leaves.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DrainSection {
     /// Time between the failing readiness check and the end of listening.
@@ -130,7 +130,7 @@
 }
 
 /// `[metrics]`: where metrics go.
-#[derive(Debug, Clone, Deserialize, Default)]
+#[derive(Debug, Clone, PartialEq, Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
 pub struct MetricSection {
     /// IP address and port of a statsd receiver; none sends no metrics.
@@ -138,7 +138,7 @@
 }
 
 /// `[timing]`: durations that decisions rest on; the same on all hosts of a deployment.
-#[derive(Debug, Clone, Deserialize, Default)]
+#[derive(Debug, Clone, PartialEq, Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
 pub struct TimingSection {
     /// Between two notices with nothing new.
@@ -168,7 +168,7 @@
 }
 
 /// All settings of one entry host.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct HostSettings {
     /// `[host]`.
     pub host: IdentitySection,
@@ -193,6 +193,23 @@
     pub timing: TimingSection,
 }
 
+impl HostSettings {
+    /// Sections that differ from `other` and that a running host does not take over.
+    pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
+        let sections = [
+            ("[host]", self.host == other.host),
+            ("[listen]", self.listen == other.listen),
+            ("[platform]", self.platform == other.platform),
+            ("[security]", self.security == other.security),
+            ("[limits]", self.limits == other.limits),
+            ("[scopes]", self.scopes == other.scopes),
+            ("[metrics]", self.metrics == other.metrics),
+            ("[timing]", self.timing == other.timing),
+        ];
+        sections.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
+    }
+}
+
 impl std::fmt::Debug for SecuritySection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("SecuritySection { shared_secret: <hidden> }")
