--- a/components/entry/tests/departures.rs
+++ b/components/entry/tests/departures.rs
@@ -210,7 +210,7 @@
         let shell = shell(&upstream);
         let gate = ShellGate { shell: Rc::clone(&shell) };
         let reply = gate.serve(call());
-        let task = actix_rt::spawn(async move { reply.await });
+        let task = actix_rt::spawn(reply);
         upstream.begin.notify_one();
         // The answer is passed on to a caller that never reads it, and who leaves then.
         let reply = task.await.unwrap();
