Refuse what waits when the grace ends; look for a copy when a load takes long

Traced by the order lines of the engine (33 listings, busy all the while). Ruled out: the drain itself; the request had arrived after SIGTERM and was held on purpose.

Waiting requests are refused as not run half a second before the process ends.

--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -136,4 +136,6 @@
     RetryRules(RetryRules),
     /// This process was told to end.
     Drain,
+    /// This process ends within a moment: what still waits is refused.
+    DrainOver,
 }
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -258,6 +258,19 @@
         }
     }
 
+    /// Refuses every waiting request: this process ends.
+    pub(super) fn refuse_waiting(&mut self, effects: &mut Vec<HostEffect>) {
+        let waiting: Vec<RequestKey> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.upstream().is_none())
+            .map(|(key, _)| key)
+            .collect();
+        for key in waiting {
+            self.refuse(key, RefusalOutcome::NotRun, RefusalReason::HostEnds, effects);
+        }
+    }
+
     /// Refuses waiting requests whose asset or service is gone.
     pub(super) fn refuse_removed(&mut self, effects: &mut Vec<HostEffect>) {
         let targets: Vec<RequestTarget> =
@@ -338,5 +351,6 @@
         RefusalReason::KeyReused => "key was used for another request",
         RefusalReason::EarlierCall => "an earlier call has the key",
         RefusalReason::Removed => "not in the inventory",
+        RefusalReason::HostEnds => "host ends",
     }
 }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -219,6 +219,7 @@
             HostEvent::Registry(changes) => self.registry_changed(now, changes, effects),
             HostEvent::Hosts(asked, hosts) => self.hosts_listed(now, asked, &hosts, effects),
             HostEvent::RetryRules(rules) => self.retries.set_rules(rules),
+            HostEvent::DrainOver => self.refuse_waiting(effects),
             HostEvent::Drain => {
                 self.draining = true;
                 self.lease.drain();
--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -48,6 +48,16 @@
     pub used: Moment,
 }
 
+impl ReplicaEntry {
+    /// When its load is expected to end, where that is known.
+    pub fn due(&self) -> Option<Moment> {
+        match self.phase {
+            ReplicaPhase::Loading(due) => due,
+            _ => None,
+        }
+    }
+}
+
 /// The order an engine has not answered yet. There is never more than one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenOrder {
@@ -195,11 +205,7 @@
 
     /// When the next replica is expected to become ready.
     pub fn next_ready(&self) -> Option<Moment> {
-        let due = |replica: &ReplicaEntry| match replica.phase {
-            ReplicaPhase::Loading(due) => due,
-            _ => None,
-        };
-        self.replicas.values().filter_map(due).min()
+        self.replicas.values().filter_map(ReplicaEntry::due).min()
     }
 
     /// Takes in a final listing. Returns how long loads that have just ended took.
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wagtailledge_inventory::AssetKey;
+use wagtailledge_inventory::InventoryCatalog;
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::catalog::UpstreamKind;
 
@@ -33,6 +34,8 @@
 const MAX_CONFLICTS: u32 = 4;
 /// Allowance for the way of an order and for rounding in the expected time of a load.
 const LOAD_SLACK: Duration = Duration::from_millis(10);
+/// Time until a load that takes longer than expected is looked at again.
+const LATE_LOAD: Duration = Duration::from_millis(400);
 /// Expected time of an adapter load until one was seen to take longer.
 const ADAPTER_LOAD: Duration = Duration::from_millis(12);
 
@@ -326,15 +329,22 @@
             engine.next_claim = context.now.after(CLAIM_RETRY / 2);
             return;
         }
-        let under_way =
-            if listing.busy { engine.recently_ordered(context.now) } else { Vec::new() };
+        let under_way = if listing.busy {
+            engine.recently_ordered(context.now, context.catalog)
+        } else {
+            Vec::new()
+        };
         let loads = engine.apply_listing(context.now, context.catalog, listing);
         engine.lost = None;
+        let next_ready = under_way.iter().filter_map(|(_, entry)| entry.due()).min();
         for (asset, entry) in under_way {
             engine.replicas.entry(asset).or_insert(entry);
         }
         let pause = if engine.is_loading() { context.timing.loading_claim } else { interval };
-        if listing.busy {
+        if let Some(due) = next_ready {
+            engine.next_order = due;
+            engine.next_claim = due.after(LOAD_SLACK);
+        } else if listing.busy {
             engine.next_order = context.now.after(context.timing.loading_claim);
             engine.next_claim = engine.next_order;
         } else if !context.publishes(upstream) {
@@ -363,17 +373,26 @@
         }
     }
 
-    /// Replicas that a busy engine may still be loading although it does not list them.
-    fn recently_ordered(&self, now: Moment) -> Vec<(AssetKey, ReplicaEntry)> {
+    /// Replicas that a busy engine may still be loading although it does not list them: such a load
+    /// takes as long as from the weight store.
+    fn recently_ordered(
+        &self,
+        now: Moment,
+        catalog: &InventoryCatalog,
+    ) -> Vec<(AssetKey, ReplicaEntry)> {
         let oldest = now.before(LISTING_LAG);
         let recent = |replica: &ReplicaEntry| match replica.phase {
             ReplicaPhase::Ordered | ReplicaPhase::Loading(_) => true,
             ReplicaPhase::Ready => replica.since > oldest,
             ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading => false,
         };
-        let recent = self.replicas.iter().filter(|(_, replica)| recent(replica));
-        let loading = ReplicaPhase::Loading(None);
-        recent.map(|(asset, entry)| (*asset, ReplicaEntry { phase: loading, ..*entry })).collect()
+        let loading = |(asset, entry): (&AssetKey, &ReplicaEntry)| {
+            let longest =
+                catalog.assets.get(*asset).map_or(Duration::ZERO, |record| record.loads.store.0);
+            let due = entry.since.after(longest).max(now.after(LATE_LOAD));
+            (*asset, ReplicaEntry { phase: ReplicaPhase::Loading(Some(due)), ..*entry })
+        };
+        self.replicas.iter().filter(|(_, replica)| recent(replica)).map(loading).collect()
     }
 
     fn set_phase(&mut self, asset: AssetKey, now: Moment, phase: ReplicaPhase) {
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -24,6 +24,8 @@
 
 /// Waiting requests that one more replica is worth.
 const WAITING_PER_REPLICA: u32 = 64;
+/// A replica that comes within this time is waited for.
+const SOON: Duration = Duration::from_secs(2);
 /// Least time between two plans while something waits.
 const PLAN_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two plans while nothing waits.
@@ -119,6 +121,18 @@
         self.engines.iter().filter(serves).count()
     }
 
+    /// Whether all replicas of an asset are on their way and none comes soon.
+    fn is_late(&self, context: &PlacementContext<'_>, asset: AssetKey) -> bool {
+        let soon = context.now.after(SOON);
+        let late = |replica: &ReplicaEntry| match replica.phase {
+            ReplicaPhase::Loading(Some(due)) => due > soon,
+            ReplicaPhase::Loading(None) => replica.since.after(SOON) < context.now,
+            ReplicaPhase::Ordered | ReplicaPhase::Ready => false,
+            ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading => true,
+        };
+        self.engines.values().filter_map(|engine| engine.replicas.get(&asset)).all(late)
+    }
+
     fn load_wanted(
         &mut self,
         context: &mut PlacementContext<'_>,
@@ -153,7 +167,8 @@
         let extra = (demand.waiting / WAITING_PER_REPLICA) as usize;
         let desired = (usize::from(least.max(rolling)) + extra).min(usize::from(record.cap));
         let useful = self.useful(context, asset);
-        if useful >= desired {
+        let late = demand.waiting > 0 && useful > 0 && self.is_late(context, asset);
+        if useful >= desired && !late {
             return;
         }
         if self.possible(asset) >= usize::from(record.cap) {
@@ -162,6 +177,9 @@
         }
         let urgent = demand.waiting > 0;
         match self.choose_place(context, asset, urgent, 0.0) {
+            // Another load from the weight store would end even later.
+            PlaceChoice::Room(engine, _) | PlaceChoice::Evict(engine, _)
+                if late && !self.has_copy(engine, asset) => {}
             PlaceChoice::Room(engine, others) => {
                 self.load(context, asset, engine, others, "demand");
             }
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -134,6 +134,8 @@
     EarlierCall,
     /// The item was removed from the inventory.
     Removed,
+    /// The host ends before it could be served.
+    HostEnds,
 }
 
 /// A refusal.
--- a/components/decisions/tests/admission.rs
+++ b/components/decisions/tests/admission.rs
@@ -277,3 +277,16 @@
     host.pass(20);
     assert_eq!(host.served().len(), 1);
 }
+
+#[test]
+fn can_refuse_what_waits_before_the_process_ends() {
+    let mut host = TestHost::new();
+    let running = [host.ask("flock", 1, 20_000), host.ask("flock", 1, 20_000)];
+    let waiting = host.ask("heat", 2, 20_000);
+    assert_eq!(host.served(), running);
+    host.submit(HostEvent::Drain);
+    assert_eq!(host.refused(), [], "it may still be served");
+    host.submit(HostEvent::DrainOver);
+    let refusal = (waiting, RefusalOutcome::NotRun, RefusalReason::HostEnds);
+    assert_eq!(host.refused(), [refusal], "what runs goes on");
+}
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -45,6 +45,8 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// The process ends this long before the grace is over.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// What still waits is refused this long before the process ends, so that callers hear of it.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
 /// Longest wait for callers to take the rest of their answers.
 const FLUSH_LIMIT: Duration = Duration::from_secs(30);
 /// Longest wait for outcomes to be recorded while the key-value service is away.
@@ -222,6 +224,11 @@
     pub async fn drain(self) {
         let drain = self.drain.get();
         let grace = drain.grace.0.saturating_sub(END_MARGIN);
+        let shell = Rc::clone(&self.shell);
+        actix_rt::spawn(async move {
+            sleep(grace.saturating_sub(REFUSAL_MARGIN)).await;
+            shell.submit(HostEvent::DrainOver);
+        });
         if timeout(grace, self.leave(drain.notice.0)).await.is_err() {
             let status = self.shell.status();
             warn!(
