--- a/components/decisions/src/placement/demand.rs
+++ b/components/decisions/src/placement/demand.rs
@@ -51,14 +51,9 @@
         self.senders.values().any(|(_, rows)| !rows.is_empty())
     }
 
-    /// Whether anything waits for `asset`.
-    pub fn wants(&self, asset: AssetKey) -> bool {
-        self.senders.values().any(|(_, rows)| rows.contains_key(&asset))
-    }
-
-    /// Whether anything waits for an asset that `matches`.
-    pub fn wants_any(&self, matches: impl Fn(AssetKey) -> bool) -> bool {
-        self.senders.values().any(|(_, rows)| rows.keys().any(|asset| matches(*asset)))
+    /// Assets that something waits for; some more than once.
+    pub fn assets(&self) -> impl Iterator<Item = AssetKey> + '_ {
+        self.senders.values().flat_map(|(_, rows)| rows.keys().copied())
     }
 
     /// Forgets senders not heard since `oldest`.
--- a/components/decisions/src/placement/mod.rs
+++ b/components/decisions/src/placement/mod.rs
@@ -8,6 +8,7 @@
 //! - `orders`: orders, and what their answers mean.
 //! - `plan`: what is loaded for waiting requests, and what is unloaded.
 //! - `choose`: where, and what makes room.
+//! - `survey`, `summary`: what a plan looks up once, of everything and of each engine.
 //! - `growth`: further replicas of assets in demand.
 //! - `demand`, `usage`: what waits, and how much each asset is asked for.
 //! - `budget`: the weight store's rates.
@@ -22,6 +23,8 @@
 mod plan;
 mod reach;
 mod state;
+mod summary;
+mod survey;
 mod usage;
 
 pub use demand::DemandTable;
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -21,6 +21,7 @@
 use super::engine::is_coming;
 use super::state::PlacementContext;
 use super::state::PlacementState;
+use super::survey::PlacementSurvey;
 
 /// Waiting requests that one more replica is worth.
 const WAITING_PER_REPLICA: u32 = 64;
@@ -45,13 +46,25 @@
         let oldest = context.now.before(context.timing.peer_timeout);
         self.hosts.forget_before(oldest);
         self.scopes.forget_before(oldest);
+        self.survey = PlacementSurvey::take(self, context);
+        self.summarize_all(context);
         let wanted = self.wanted(context);
         self.retire_idle(context, &wanted);
         self.unload_retired(context);
         self.unload_foreign(context);
         self.load_wanted(context, wanted);
         self.grow_replicas(context);
-        self.publish_all(context);
+        if std::mem::take(&mut self.publish_due) {
+            self.publish_all(context);
+        }
+    }
+
+    fn summarize_all(&mut self, context: &PlacementContext<'_>) {
+        let keys: Vec<UpstreamKey> = self.engines.keys().collect();
+        for key in keys {
+            let summary = self.summarize(context, key);
+            self.survey.put_summary(key, summary);
+        }
     }
 
     /// Marks replicas ready whose load has ended by now.
@@ -96,7 +109,7 @@
         for asset in context.catalog.standing() {
             let record = &context.catalog.assets[*asset];
             let versions = context.catalog.versions_of(&record.public_name).iter();
-            let replaces = |other: &AssetKey| other != asset && self.useful(context, *other) > 0;
+            let replaces = |other: &AssetKey| other != asset && self.survey.useful(*other) > 0;
             let rolls = record.state == VersionState::Rolling && versions.into_iter().any(replaces);
             if record.floor > 0 || rolls {
                 let demand = AssetDemand { waiting: 0, rank: record.rank, earliest };
@@ -110,17 +123,6 @@
         self.engines.values().filter(|engine| engine.may_hold(asset)).count()
     }
 
-    /// Replicas that serve or will soon.
-    pub(super) fn useful(&self, context: &PlacementContext<'_>, asset: AssetKey) -> usize {
-        let serves = |(key, engine): &(UpstreamKey, &EngineState)| {
-            let useful = engine.replicas.get(&asset).is_some_and(|replica| {
-                !matches!(replica.phase, ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading)
-            });
-            useful && !engine.is_suspect() && context.accepts(*key)
-        };
-        self.engines.iter().filter(serves).count()
-    }
-
     /// Whether all replicas of an asset are on their way and none comes soon.
     fn is_late(&self, context: &PlacementContext<'_>, asset: AssetKey) -> bool {
         let soon = context.now.after(SOON);
@@ -166,7 +168,7 @@
         let rolling = u16::from(record.state == VersionState::Rolling);
         let extra = (demand.waiting / WAITING_PER_REPLICA) as usize;
         let desired = (usize::from(least.max(rolling)) + extra).min(usize::from(record.cap));
-        let useful = self.useful(context, asset);
+        let useful = self.survey.useful(asset);
         let late = demand.waiting > 0 && useful > 0 && self.is_late(context, asset);
         if useful >= desired && !late {
             return;
@@ -261,10 +263,18 @@
         let now = context.now;
         let entry = ReplicaEntry { phase: ReplicaPhase::Ordered, bytes, since: now, used: now };
         self.engines[upstream].replicas.insert(asset, entry);
+        self.survey.added(asset);
+        self.resummarize(context, upstream);
         self.publish(context, upstream);
         context.note(DecisionKind::Load, asset, upstream, reason, others);
     }
 
+    /// Sums up an engine anew after an order to it.
+    fn resummarize(&mut self, context: &PlacementContext<'_>, upstream: UpstreamKey) {
+        let summary = self.summarize(context, upstream);
+        self.survey.put_summary(upstream, summary);
+    }
+
     /// Whether the engine can load the asset without the weight store.
     pub(super) fn has_copy(&self, upstream: UpstreamKey, asset: AssetKey) -> bool {
         self.engines.get(upstream).is_some_and(|engine| {
@@ -322,6 +332,8 @@
         };
         replica.phase = ReplicaPhase::Retiring(due);
         replica.since = context.now;
+        self.survey.removed(asset);
+        self.resummarize(context, upstream);
         self.publish(context, upstream);
         context.note(DecisionKind::Unload, asset, upstream, reason, 0);
     }
@@ -345,7 +357,7 @@
                 let retired = record.state == VersionState::Retired;
                 let idle = replica.used <= idle_since
                     && wanted.get(asset).is_none_or(|demand| demand.waiting == 0)
-                    && self.useful(context, *asset) > usize::from(record.floor);
+                    && self.survey.useful(*asset) > usize::from(record.floor);
                 if (retired || idle) && !engine.has_adapters_of(context.catalog, *asset) {
                     let reason = if retired { "version retired" } else { "idle" };
                     retiring.push((*asset, upstream, reason));
@@ -354,7 +366,7 @@
         }
         for (asset, upstream, reason) in retiring {
             let floor = context.catalog.assets[asset].floor;
-            if reason != "idle" || self.useful(context, asset) > usize::from(floor) {
+            if reason != "idle" || self.survey.useful(asset) > usize::from(floor) {
                 self.retire(context, asset, upstream, reason);
             }
         }
@@ -384,6 +396,7 @@
             {
                 replica.phase = ReplicaPhase::Unloading;
             }
+            self.resummarize(context, upstream);
         }
     }
 
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -26,6 +26,7 @@
 use super::demand::DemandTable;
 use super::engine::EngineState;
 use super::reach::ScopeReach;
+use super::survey::PlacementSurvey;
 use super::usage::UsageTable;
 
 /// Weight of the latest load in the expected load time, as a divisor.
@@ -103,6 +104,10 @@
     /// Assets this scope cannot place now.
     pub declined: BTreeSet<AssetKey>,
     pub(super) budget: LoadBudget,
+    /// As of the last plan.
+    pub(super) survey: PlacementSurvey,
+    /// Engines came, went or changed since everything was last told to routers.
+    pub(super) publish_due: bool,
     /// Expected duration of a model load, from those seen; `None` before the first.
     load_time: Option<Duration>,
     pub(super) next_plan: Moment,
@@ -123,6 +128,8 @@
             reach: BTreeMap::new(),
             declined: BTreeSet::new(),
             budget: LoadBudget::spent(now),
+            survey: PlacementSurvey::default(),
+            publish_due: true,
             load_time: None,
             next_plan: now,
         }
@@ -188,6 +195,7 @@
             }
         }
         self.refresh_names(catalog);
+        self.publish_due = true;
     }
 
     /// An engine that ignores tokens is first claimed once no order of a predecessor can arrive.
