Ask another upstream when one answers that it failed

Cause: of the idempotent lookups of the grown certdesk 60 of 847 ended with an upstream's own 500; traces show that about half of these requests succeed when they are sent again (the callers came back on their own, late).

Ruled out: one bad engine (the failures are spread over all), a limit on our side.

Now: an answer of 500 to 503 to a request that may be repeated is kept, another upstream is asked if attempts and the retry budget allow it, and the kept answer is delivered at once when nothing is free or the retry brings nothing better.

Small sites unchanged (their failures are of the request, at every engine).

The host that tests drive event by event moved to tests/support.

--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -3,6 +3,7 @@
 use wagtailledge_inventory::UpstreamKey;
 
 use crate::ledger::LedgerClaim;
+use crate::request::RecordedAnswer;
 use crate::request::RequestRepeat;
 use crate::request::RequestTarget;
 use crate::request::RequestTicket;
@@ -56,6 +57,8 @@
     pub runs: u32,
     /// Upstreams that failed it or did not run it.
     pub tried: Vec<UpstreamKey>,
+    /// Failure that an upstream answered with: the caller gets it unless another one does better.
+    pub failure: Option<Box<RecordedAnswer>>,
 }
 
 impl RequestRecord {
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -18,6 +18,9 @@
 
 use super::state::HostReducer;
 
+/// Statuses of answers that say the upstream failed, other than by lack of time.
+const FAILURES: std::ops::RangeInclusive<u16> = 500..=503;
+
 impl HostReducer {
     /// The answer begins: it is passed on unless the caller has been refused meanwhile.
     pub(super) fn attempt_started(
@@ -105,7 +108,7 @@
             AttemptOutcome::Streamed => self.remove(key),
             AttemptOutcome::Answered(answer) => {
                 self.upstream_answered(upstream, effects);
-                self.answered(now, key, answer, effects);
+                self.answered(now, key, upstream, answer, effects);
             }
             AttemptOutcome::NotRun { misplaced } => {
                 self.not_run(now, key, upstream, misplaced, effects);
@@ -126,9 +129,25 @@
         &mut self,
         now: Moment,
         key: RequestKey,
+        upstream: UpstreamKey,
         answer: RecordedAnswer,
         effects: &mut Vec<HostEffect>,
     ) {
+        let request = &mut self.requests[key];
+        request.may_have_run = true;
+        request.runs += 1;
+        request.tried.push(upstream);
+        if self.may_do_better(now, key, &answer) {
+            let request = &mut self.requests[key];
+            request.failure = Some(Box::new(answer));
+            self.wait(now, key, effects);
+            // Nothing is free: the failure is not held back for a chance later.
+            if self.requests.get(key).is_some_and(|request| request.upstream().is_none()) {
+                let reason = RefusalReason::UpstreamFailed;
+                self.refuse(key, RefusalOutcome::Unknown, reason, effects);
+            }
+            return;
+        }
         let state = LedgerState::for_answer(&answer);
         self.finish(now, key, state, effects);
         let request = &self.requests[key];
@@ -138,6 +157,16 @@
         self.remove(key);
     }
 
+    /// Whether another upstream should be asked, as this one answered that it failed.
+    fn may_do_better(&self, now: Moment, key: RequestKey, answer: &RecordedAnswer) -> bool {
+        let request = &self.requests[key];
+        let hosts = self.members.count() + 1;
+        FAILURES.contains(&answer.status)
+            && !request.settled
+            && request.may_run_again()
+            && self.retries.may_repeat(now, self.service_of(request.target), hosts)
+    }
+
     /// The upstream did not run it, so any request may be sent again.
     fn not_run(
         &mut self,
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -71,6 +71,7 @@
             terms: request.terms,
             runs: 0,
             tried: Vec::new(),
+            failure: None,
         };
         self.retries.requested(now, self.service_of(request.target));
         let key = self.requests.insert(record);
@@ -163,9 +164,15 @@
         reason: RefusalReason,
         effects: &mut Vec<HostEffect>,
     ) {
-        let Some(request) = self.requests.get(key) else {
+        let Some(request) = self.requests.get_mut(key) else {
             return;
         };
+        if let (false, Some(answer)) = (request.settled, request.failure.take()) {
+            effects.push(HostEffect::Answer(request.ticket, answer));
+            self.settle(key, effects);
+            return;
+        }
+        let request = &self.requests[key];
         let claims_unrun = outcome == RefusalOutcome::NotRun && request.may_have_run;
         let outcome = if claims_unrun { RefusalOutcome::Unknown } else { outcome };
         let refusal = self.refusal(outcome, reason);
--- /dev/null
+++ b/components/decisions/tests/support/mod.rs
@@ -0,0 +1,225 @@
+//! One host whose decisions tests drive event by event.
+
+#![allow(dead_code, reason = "each test file uses another part")]
+
+use std::time::Duration;
+
+use wagtailledge_decisions::HostEffect;
+use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::HostReducer;
+use wagtailledge_decisions::HostStamp;
+use wagtailledge_decisions::Moment;
+use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::configuration::ItemMap;
+use wagtailledge_decisions::configuration::difference;
+use wagtailledge_decisions::configuration::digest_of;
+use wagtailledge_decisions::configuration::to_items;
+use wagtailledge_decisions::discovery::RegistryUpdate;
+use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::event::ListedHost;
+use wagtailledge_decisions::event::ListedState;
+use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::MESSAGE_VERSION;
+use wagtailledge_decisions::message::PeerEnvelope;
+use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::ReplicaRow;
+use wagtailledge_decisions::message::ReplicaState;
+use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::request::CallerRequest;
+use wagtailledge_decisions::request::RefusalOutcome;
+use wagtailledge_decisions::request::RefusalReason;
+use wagtailledge_decisions::request::RequestKey;
+use wagtailledge_decisions::request::RequestRepeat;
+use wagtailledge_decisions::request::RequestTarget;
+use wagtailledge_decisions::request::RequestTicket;
+use wagtailledge_inventory::parse::parse_inventory;
+
+/// Two models of one class and one of a lower class, on one engine with two slots.
+pub const INVENTORY: &str = r#"
+[rules]
+max_waiting = 4
+max_waiting_per_caller = 5
+[[class]]
+name = "alarm"
+rank = 0
+deadline = "10s"
+[[class]]
+name = "summary"
+rank = 5
+deadline = "30s"
+[[model]]
+name = "heat"
+size = "10GiB"
+class = "alarm"
+[[model]]
+name = "fan"
+size = "10GiB"
+class = "alarm"
+[[model]]
+name = "flock"
+size = "10GiB"
+class = "summary"
+[[engine]]
+name = "llm"
+zone = "east"
+address = "127.0.0.1:9001"
+accelerators = 1
+memory = "80GiB"
+slots = 2
+checks_tokens = true
+"#;
+
+/// A host with its decisions and what they led to.
+#[derive(Debug)]
+pub struct TestHost {
+    /// Its decisions.
+    pub reducer: HostReducer,
+    /// Its clock.
+    pub now: Moment,
+    /// Everything decided since the start.
+    pub effects: Vec<HostEffect>,
+    last: u64,
+}
+
+/// A host of zone `east`.
+pub fn stamp(name: &str) -> HostStamp {
+    HostStamp {
+        name: name.to_owned(),
+        zone: "east".to_owned(),
+        scope: "east".to_owned(),
+        address: format!("{name}:1"),
+        incarnation: 1,
+    }
+}
+
+impl TestHost {
+    /// A host with an inventory and a full list of hosts and upstreams.
+    pub fn with_inventory(inventory: &str) -> Self {
+        let now = Moment(1_000_000_000);
+        let reducer = HostReducer::new(now, stamp("east-1"), TimingRules::default(), 1);
+        let mut host = Self { reducer, now, effects: Vec::new(), last: 0 };
+        let items = to_items(&parse_inventory("test", inventory).unwrap());
+        host.hear(PeerMessage::ConfigurationOffer {
+            base: 0,
+            revision: 1,
+            digest: digest_of(&items),
+            changes: difference(&ItemMap::new(), &items),
+        });
+        host.list();
+        host.effects.clear();
+        host
+    }
+
+    /// A host with all models of [`INVENTORY`] ready at its engine.
+    pub fn new() -> Self {
+        let mut host = Self::with_inventory(INVENTORY);
+        let ready = |name: &str| {
+            ReplicaRow(format!("{name}@1"), "llm".to_owned(), Some(ReplicaState::Ready))
+        };
+        let rows = ["heat", "fan", "flock"].map(ready).to_vec();
+        let update = TableUpdate { table: 1, since: 0, version: 3, rows };
+        let notice = LeaderNotice {
+            epoch: 1,
+            successors: Vec::new(),
+            revision: 1,
+            update,
+            registry: RegistryUpdate::default(),
+            declined: Vec::new(),
+        };
+        host.hear(PeerMessage::Leader(notice));
+        host.effects.clear();
+        host
+    }
+
+    /// Takes in an event now.
+    pub fn submit(&mut self, event: HostEvent) {
+        self.reducer.reduce(self.now, event, &mut self.effects);
+    }
+
+    /// A message of the host `east-2` arrives.
+    pub fn hear(&mut self, message: PeerMessage) {
+        let from = stamp("east-2");
+        self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
+            version: MESSAGE_VERSION,
+            from,
+            message,
+        })));
+    }
+
+    /// The list of hosts names every upstream.
+    pub fn list(&mut self) {
+        let listed = |name: &str| ListedHost {
+            name: name.to_owned(),
+            zone: "east".to_owned(),
+            scope: "east".to_owned(),
+            peer_address: String::new(),
+            state: ListedState::Live,
+        };
+        let upstreams = self.reducer.catalog().upstreams.values();
+        let listed = upstreams.map(|record| listed(&record.name)).collect();
+        self.submit(HostEvent::Hosts(self.now, listed));
+    }
+
+    /// Time passes, in ticks of 10 ms.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now = self.now.after(Duration::from_millis(10));
+            self.submit(HostEvent::Tick);
+        }
+    }
+
+    /// Asks for a model; returns the front's number.
+    pub fn ask(&mut self, model: &str, caller: u64, deadline_ms: u64) -> u64 {
+        let target = self.reducer.resolve_model(model).unwrap();
+        self.arrive(target, RequestRepeat::Idempotent, caller, deadline_ms)
+    }
+
+    /// A request arrives; returns the front's number.
+    pub fn arrive(
+        &mut self,
+        target: RequestTarget,
+        repeat: RequestRepeat,
+        caller: u64,
+        deadline_ms: u64,
+    ) -> u64 {
+        self.last += 1;
+        let ticket = RequestTicket(self.last);
+        let deadline = Some(Duration::from_millis(deadline_ms));
+        let request = CallerRequest { ticket, target, repeat, deadline, caller, terms: None };
+        self.submit(HostEvent::Arrived(request));
+        self.last
+    }
+
+    /// Dispatches so far: request, attempt and the front's number.
+    pub fn dispatched(&self) -> Vec<(RequestKey, u32, u64)> {
+        let dispatch = |effect: &HostEffect| match effect {
+            HostEffect::Dispatch { request, attempt, ticket, .. } => {
+                Some((*request, *attempt, ticket.0))
+            }
+            _ => None,
+        };
+        self.effects.iter().filter_map(dispatch).collect()
+    }
+
+    /// Numbers of the requests dispatched so far, in order.
+    pub fn served(&self) -> Vec<u64> {
+        self.dispatched().into_iter().map(|(_, _, ticket)| ticket).collect()
+    }
+
+    /// Refusals so far: number, outcome and reason.
+    pub fn refused(&self) -> Vec<(u64, RefusalOutcome, RefusalReason)> {
+        let refusal = |effect: &HostEffect| match effect {
+            HostEffect::Refuse(ticket, refusal) => {
+                Some((ticket.0, refusal.outcome, refusal.reason))
+            }
+            _ => None,
+        };
+        self.effects.iter().filter_map(refusal).collect()
+    }
+
+    /// The dispatch with this index ends.
+    pub fn end(&mut self, index: usize, outcome: AttemptOutcome) {
+        let (request, attempt, _) = self.dispatched()[index];
+        self.submit(HostEvent::AttemptEnded(request, attempt, outcome));
+    }
+}
