Keep engines from loads while their work is unknown, and ask them again soon

Ruled out: reports that mix old and new (54 reports within 0.6 s of an order: number and content are of one moment, about 100 ms old).

--- a/components/decisions/src/placement/choose.rs
+++ b/components/decisions/src/placement/choose.rs
@@ -144,6 +144,10 @@
     if summary.adapters < slots && summary.free >= bytes {
         return EngineFit::Fits(Vec::new(), summary.crowding);
     }
+    // Room is being made: nothing more need make way.
+    if summary.adapter_leaves {
+        return EngineFit::Pending;
+    }
     // The adapter that was used longest ago makes way; a slot is worth as much as any other.
     if let Some((_, victim, freed)) = summary.spare_adapter
         && summary.free + freed >= bytes
--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -97,6 +97,9 @@
     pub sequence: Option<u64>,
     /// Replicas that it holds or may hold.
     pub replicas: BTreeMap<AssetKey, ReplicaEntry>,
+    /// Replicas whose unload it has accepted and that it drops once nothing runs on them. All are
+    /// in `replicas`, in the phase `Unloading`.
+    pub leaving: BTreeSet<AssetKey>,
     /// Assets it holds that the configuration does not name, with their bytes.
     pub foreign: BTreeMap<String, u64>,
     /// Weights it has copies of, where it says.
@@ -109,6 +112,9 @@
     pub term: u64,
     /// After a lost order no listing before this moment is final.
     pub settle_at: Option<Moment>,
+    /// It was busy with something that `replicas` does not show when it last said what it holds:
+    /// it may hold more by now, so nothing is loaded until it was seen at rest.
+    pub unexplained: bool,
     /// When it last accepted an order, or said something new when asked.
     pub changed: Moment,
     /// When to claim it next.
@@ -149,7 +155,7 @@
     /// Whether a load or unload may be ordered now.
     pub fn takes_orders(&self) -> bool {
         let settled = self.settle_at.is_none() && self.lost.is_none();
-        self.claimed && self.open.is_none() && settled && !self.is_suspect()
+        self.claimed && self.open.is_none() && settled && !self.unexplained && !self.is_suspect()
     }
 
     /// Whether it may hold `asset`.
@@ -170,6 +176,13 @@
         })
     }
 
+    /// Whether the unload of a model is under way.
+    pub fn unloads_model(&self, catalog: &InventoryCatalog) -> bool {
+        self.leaving
+            .iter()
+            .any(|asset| catalog.assets.get(*asset).is_none_or(|record| record.base.is_none()))
+    }
+
     /// Adapters held, being loaded or being unloaded.
     pub fn adapters<'e>(
         &'e self,
@@ -222,6 +235,8 @@
         if let Some(copies) = &listing.copies {
             self.copies = CopySet::new(catalog, copies);
         }
+        self.lost = None;
+        let leaving = std::mem::take(&mut self.leaving);
         let old = std::mem::take(&mut self.replicas);
         self.foreign.clear();
         let mut loads = Vec::new();
@@ -231,6 +246,16 @@
                 continue;
             };
             let before = old.get(&asset).copied();
+            // Engines at rest have ended the unloads of models, but not those of adapters in use.
+            let goes_on = listing.busy || catalog.assets[asset].base.is_some();
+            if let Some(before) = before
+                && goes_on
+                && leaving.contains(&asset)
+            {
+                self.leaving.insert(asset);
+                self.replicas.insert(asset, before);
+                continue;
+            }
             let bytes = item.bytes.max(catalog.assets[asset].bytes);
             let entry = listed_entry(now, item.state, bytes, before);
             let was_loading =
@@ -243,6 +268,20 @@
         loads
     }
 
+    /// Forgets what has been unloaded by the time that the engine accepts a load of a model: it
+    /// takes one order about a model at a time. Adapters of models that stay may still be in use.
+    pub fn end_model_unloads(&mut self, catalog: &InventoryCatalog) {
+        let stays = |asset: &AssetKey| {
+            let base = catalog.assets.get(*asset).and_then(|record| record.base);
+            base.is_some_and(|base| !self.leaving.contains(&base))
+        };
+        let still: BTreeSet<AssetKey> = self.leaving.iter().copied().filter(stays).collect();
+        for asset in self.leaving.difference(&still) {
+            self.replicas.remove(asset);
+        }
+        self.leaving = still;
+    }
+
     /// Takes in what the engine published of itself. That may be out of date by as long as the
     /// platform was away, so it only confirms loads; where it differs otherwise the engine is to be
     /// asked. Returns whether routers should be told something.
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -30,6 +30,8 @@
 const CLAIM_RETRY: Duration = Duration::from_millis(500);
 /// Pause before a busy engine gets another order; doubles with each refusal in a row.
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
+/// What an engine lists when it is asked is no older than this.
+const REPORT_LAG: Duration = Duration::from_secs(1);
 /// Refusals in a row after which an engine is asked what it holds.
 const MAX_CONFLICTS: u32 = 4;
 /// Allowance for the way of an order and for rounding in the expected time of a load.
@@ -157,8 +159,7 @@
         match open.kind {
             OrderKind::Claim => {}
             OrderKind::LoadModel { .. } => {
-                // It takes one order about a model at a time, so unloads have ended by now.
-                engine.replicas.retain(|_, replica| replica.phase != ReplicaPhase::Unloading);
+                engine.end_model_unloads(context.catalog);
                 engine.copies.memory.insert(asset);
                 engine.copies.disk.insert(asset);
                 engine.set_phase(asset, now, ReplicaPhase::Loading(Some(now.after(estimate))));
@@ -169,11 +170,15 @@
             }
             OrderKind::Unload { .. } => {
                 engine.set_phase(asset, now, ReplicaPhase::Unloading);
-                // The adapters of a model go with it.
-                engine.replicas.retain(|other, _| {
+                engine.leaving.insert(asset);
+                // The adapters of a model go with it, and hold their places until then.
+                for (other, replica) in &mut engine.replicas {
                     let record = context.catalog.assets.get(*other);
-                    record.is_none_or(|record| record.base != Some(asset))
-                });
+                    if record.is_some_and(|record| record.base == Some(asset)) {
+                        replica.phase = ReplicaPhase::Unloading;
+                        engine.leaving.insert(*other);
+                    }
+                }
             }
         }
     }
@@ -226,6 +231,7 @@
                     engine.sequence = engine.sequence.map(|sequence| sequence + 1);
                 }
                 engine.replicas.remove(&asset);
+                engine.leaving.remove(&asset);
                 if !adapter {
                     // What was believed of this engine was wrong: nothing is loaded on that belief.
                     engine.next_claim = context.now;
@@ -323,19 +329,23 @@
         };
         engine.next_claim = Moment(u64::MAX);
         engine.conflicts = 0;
-        if listing.sequence.is_some() && listing.sequence < engine.sequence {
-            // Reports lag behind: this one is from before the last order.
+        let recent = context.now.since(engine.changed) < REPORT_LAG;
+        if recent && listing.sequence.is_some() && listing.sequence < engine.sequence {
+            // This listing is from before the last order.
             engine.misses = 0;
             engine.next_claim = context.now.after(CLAIM_RETRY / 2);
+            engine.next_order = engine.next_claim;
             return;
         }
-        let under_way = if listing.busy {
+        let mut under_way = if listing.busy {
             engine.recently_ordered(context.now, context.catalog)
         } else {
             Vec::new()
         };
         let loads = engine.apply_listing(context.now, context.catalog, listing);
-        engine.lost = None;
+        under_way.retain(|(asset, _)| !engine.replicas.contains_key(asset));
+        engine.unexplained =
+            listing.busy && under_way.is_empty() && !engine.unloads_model(context.catalog);
         let next_ready = under_way.iter().filter_map(|(_, entry)| entry.due()).min();
         for (asset, entry) in under_way {
             engine.replicas.entry(asset).or_insert(entry);
--- a/components/decisions/src/placement/summary.rs
+++ b/components/decisions/src/placement/summary.rs
@@ -60,6 +60,8 @@
     pub blocked_rate: f64,
     /// Adapters held or on their way.
     pub adapters: usize,
+    /// An adapter is being unloaded.
+    pub adapter_leaves: bool,
     /// The adapter to unload first, when it was last used, and its bytes.
     pub spare_adapter: Option<(Moment, AssetKey, u64)>,
     /// Models that may be unloaded, those of the least value first.
@@ -124,6 +126,9 @@
             crowding,
             blocked_rate,
             adapters: engine.adapters(context.catalog).count(),
+            adapter_leaves: engine.adapters(context.catalog).any(|(_, replica)| {
+                matches!(replica.phase, ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading)
+            }),
             spare_adapter: spare,
             evictions,
             settled: engine.replicas.values().all(|replica| replica.phase == ReplicaPhase::Ready),
@@ -205,6 +210,9 @@
     if engine.open.is_some() || engine.lost.is_some() {
         wait = wait.max(ANSWER_TIME);
     }
+    if engine.unexplained {
+        wait = wait.max(UNKNOWN_LOAD);
+    }
     for (_, replica) in models(context, engine) {
         let left = match replica.phase {
             ReplicaPhase::Ordered | ReplicaPhase::Loading(None) => UNKNOWN_LOAD,
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses another part")]
 
+pub mod leader;
+
 use std::time::Duration;
 
 use wagtailledge_decisions::HostEffect;
--- a/components/entry/src/notes.rs
+++ b/components/entry/src/notes.rs
@@ -3,6 +3,8 @@
 use log::info;
 use wagtailledge_decisions::effect::DecisionKind;
 use wagtailledge_decisions::effect::DecisionNote;
+use wagtailledge_decisions::order::EngineListing;
+use wagtailledge_decisions::order::HeldState;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
 
@@ -51,6 +53,15 @@
     }
 }
 
+/// Words for what an engine says it holds.
+fn describe(listing: &EngineListing) -> String {
+    let sequence = listing.sequence.map_or_else(|| "?".to_owned(), |number| number.to_string());
+    let coming = listing.held.iter().filter(|held| held.state == HeldState::Loading).count();
+    let ready = listing.held.len() - coming;
+    let busy = if listing.busy { "busy" } else { "at rest" };
+    format!("{sequence} accepted, {ready} ready, {coming} coming, {busy}")
+}
+
 /// Logs what an engine made of an order.
 pub fn log_order(
     host: &str,
@@ -59,6 +70,10 @@
     expected: Option<u64>,
     outcome: &OrderOutcome,
 ) {
+    let listing = match outcome {
+        OrderOutcome::Accepted(listing) | OrderOutcome::Refused(listing) => describe(listing),
+        _ => String::new(),
+    };
     let outcome = match outcome {
         OrderOutcome::Accepted(_) => "accepted",
         OrderOutcome::Refused(_) => "refused",
@@ -73,7 +88,8 @@
     let expected = expected.map_or_else(String::new, |expected| expected.to_string());
     info!(
         target: "order",
-        host = host, upstream = upstream, expected = expected.as_str(), outcome = outcome;
+        host = host, upstream = upstream, expected = expected.as_str(), outcome = outcome,
+        listing = listing.as_str();
         "{upstream}: {order}: {outcome}"
     );
 }
