--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -25,6 +25,8 @@
 
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+/// The same for a caller whom another host can serve.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 /// How long an asset that was refused as too late is still wanted for callers who come back.
 const WANTED_TIME: Duration = Duration::from_secs(30);
 
@@ -37,13 +39,15 @@
         effects: &mut Vec<HostEffect>,
     ) {
         let Some((rank, span)) = self.class_of(request.target) else {
-            let refusal = self.refusal(RefusalOutcome::NotRun, RefusalReason::Removed);
+            let refusal =
+                self.refusal(request.target, RefusalOutcome::NotRun, RefusalReason::Removed);
             effects.push(HostEffect::Refuse(request.ticket, refusal));
             return;
         };
         let limit = self.catalog.rules.max_waiting_per_caller as usize;
         if self.by_caller.get(&request.caller).is_some_and(|open| *open >= limit) {
-            let refusal = self.refusal(RefusalOutcome::NotRun, RefusalReason::CallerLimit);
+            let refusal =
+                self.refusal(request.target, RefusalOutcome::NotRun, RefusalReason::CallerLimit);
             effects.push(HostEffect::Refuse(request.ticket, refusal));
             return;
         }
@@ -138,13 +142,31 @@
 
     /// Shortest time in which a replica that nobody holds can be ready.
     fn least_load(&self, asset: AssetKey) -> Duration {
-        let adapter = self.catalog.assets[asset].base;
-        match adapter {
-            Some(base) if !self.view.ready(base).is_empty() => Duration::ZERO,
-            _ => match &self.placement {
-                Some(placement) => placement.expected_load(&self.catalog) / 2,
-                None => self.catalog.rules.expected_load.0 / 2,
-            },
+        let record = &self.catalog.assets[asset];
+        let model = match record.base {
+            Some(base) if !self.view.ready(base).is_empty() => return Duration::ZERO,
+            Some(base) => &self.catalog.assets[base],
+            None => record,
+        };
+        let known = [model.loads.memory.0, model.loads.disk.0, model.loads.store.0];
+        let shortest = known.into_iter().filter(|span| !span.is_zero()).min();
+        shortest.unwrap_or_else(|| match &self.placement {
+            Some(placement) => placement.expected_load(&self.catalog) / 2,
+            None => self.catalog.rules.expected_load.0 / 2,
+        })
+    }
+
+    /// When a caller that was refused should come back.
+    fn retry_after(&self, target: RequestTarget, reason: RefusalReason) -> Duration {
+        match (reason, target) {
+            // Any other host serves now.
+            (RefusalReason::HostEnds, _) => RETRY_ELSEWHERE,
+            (RefusalReason::TooLate | RefusalReason::NoCapacity, RequestTarget::Asset(asset))
+                if self.catalog.assets.contains_key(asset) =>
+            {
+                self.least_load(asset).max(RETRY_AFTER_MIN)
+            }
+            _ => RETRY_AFTER_MIN,
         }
     }
 
@@ -175,7 +197,7 @@
         let request = &self.requests[key];
         let claims_unrun = outcome == RefusalOutcome::NotRun && request.may_have_run;
         let outcome = if claims_unrun { RefusalOutcome::Unknown } else { outcome };
-        let refusal = self.refusal(outcome, reason);
+        let refusal = self.refusal(request.target, outcome, reason);
         if !request.settled {
             effects.push(HostEffect::Note(DecisionNote {
                 kind: DecisionKind::Refuse,
@@ -321,13 +343,13 @@
         rows
     }
 
-    fn refusal(&self, outcome: RefusalOutcome, reason: RefusalReason) -> CallerRefusal {
-        let load = self.catalog.rules.expected_load.0;
-        let retry_after = match reason {
-            RefusalReason::TooLate | RefusalReason::NoCapacity => load.max(RETRY_AFTER_MIN),
-            _ => RETRY_AFTER_MIN,
-        };
-        CallerRefusal { outcome, reason, retry_after }
+    fn refusal(
+        &self,
+        target: RequestTarget,
+        outcome: RefusalOutcome,
+        reason: RefusalReason,
+    ) -> CallerRefusal {
+        CallerRefusal { outcome, reason, retry_after: self.retry_after(target, reason) }
     }
 
     fn target_name(&self, target: RequestTarget) -> String {
--- a/components/decisions/src/placement/budget.rs
+++ b/components/decisions/src/placement/budget.rs
@@ -6,6 +6,9 @@
 
 use crate::time::Moment;
 
+/// Loads that an idle scope keeps credit for.
+const MAX_CREDIT: u32 = 2;
+
 /// Paces load orders. The shares of all scopes sum to the deployment's limits.
 #[derive(Debug, Clone, Default)]
 pub struct LoadBudget {
@@ -26,16 +29,20 @@
         (catalog.rules.adapters_in_flight as usize / scopes).max(1)
     }
 
+    /// Time between two load starts of this scope: by what the strictest pool declares, else by the
+    /// rules.
     fn interval(catalog: &InventoryCatalog) -> Duration {
         let scopes = catalog.scopes.len().max(1) as u32;
-        Duration::from_secs(1) * scopes / catalog.rules.store_loads_per_second.max(1)
+        let pools = catalog.services.values().filter_map(|service| service.pool.as_ref());
+        let declared = pools.map(|pool| pool.loads_per_minute).filter(|rate| *rate > 0).min();
+        let rate = declared.unwrap_or(catalog.rules.store_loads_per_second.max(1) * 60);
+        Duration::from_secs(60) * scopes / rate
     }
 
     /// Takes one model load out of the rate; false when it must wait.
     pub fn take(&mut self, now: Moment, catalog: &InventoryCatalog) -> bool {
         let interval = Self::interval(catalog);
-        // An idle scope keeps credit for as many loads as it may run at once.
-        let credit = interval * Self::concurrent(catalog) as u32;
+        let credit = interval * MAX_CREDIT.min(Self::concurrent(catalog) as u32);
         let next = self.paced.max(now.before(credit)).after(interval);
         if next > now {
             return false;
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends requests to upstreams and their answers to callers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +22,8 @@
 
 use crate::calls::LiveAttempt;
 use crate::calls::PendingStream;
+use crate::notes::AttemptTimes;
+use crate::notes::log_attempt;
 use crate::shell::EntryShell;
 
 /// Parts of a stream held for a slow caller before its upstream has to wait.
@@ -63,9 +66,11 @@
         }
         self.recent.borrow_mut().insert(plan.upstream, Instant::now());
         let shell = Rc::clone(self);
+        let times = Rc::new(RefCell::new(AttemptTimes::start()));
+        let (request_id, upstream) = (call.request_id.clone(), call.upstream.clone());
         actix_rt::spawn(async move {
             let ticket = plan.ticket;
-            let exchange = Rc::clone(&shell).exchange(call, plan);
+            let exchange = Rc::clone(&shell).exchange(call, plan, Rc::clone(&times));
             // An aborted exchange has closed its connection; the upstream may have run it.
             let outcome =
                 Abortable::new(exchange, registration).await.unwrap_or(AttemptOutcome::Broken);
@@ -76,6 +81,8 @@
                     sender.finish();
                 }
             }
+            let times = times.borrow();
+            log_attempt(&shell.me.name, &request_id, &upstream, number, &times, &outcome);
             shell.submit(HostEvent::AttemptEnded(request, number, outcome));
         });
     }
@@ -120,7 +127,12 @@
         })
     }
 
-    async fn exchange(self: Rc<Self>, call: UpstreamCall, plan: DispatchPlan) -> AttemptOutcome {
+    async fn exchange(
+        self: Rc<Self>,
+        call: UpstreamCall,
+        plan: DispatchPlan,
+        times: Rc<RefCell<AttemptTimes>>,
+    ) -> AttemptOutcome {
         let upstreams = Rc::clone(&self.parts.upstreams);
         let shell = Rc::clone(&self);
         let mut on_event = move |event: CallEvent| -> LocalBoxFuture<'static, bool> {
@@ -130,6 +142,7 @@
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Started(head) => {
+                    times.borrow_mut().status = head.status;
                     shell.begin_stream(plan.ticket, head.status, head.headers);
                     shell.submit(HostEvent::AttemptStarted(plan.request, plan.attempt));
                     // Nobody waits for an answer that was not passed on.
@@ -138,6 +151,7 @@
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Part(part, last) => {
+                    times.borrow_mut().part_came();
                     let mut calls = shell.calls.borrow_mut();
                     let Some(live) = calls.get_mut(plan.ticket) else {
                         return futures::future::ready(false).boxed_local();
--- a/components/frontend/src/relay/handle.rs
+++ b/components/frontend/src/relay/handle.rs
@@ -111,6 +111,10 @@
         Err(fault) => return Ok(bad_request(&fault, &gate)),
     };
     let limits = gate.limits();
+    // A length that is announced is refused without waiting for the bytes.
+    if body.size_hint().lower() > limits.body as u64 {
+        return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE, "body is too long\n", &gate));
+    }
     let body = Limited::new(body, limits.body).collect();
     let body = match timeout(limits.body_timeout, body).await {
         Ok(Ok(body)) => body.to_bytes(),
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -1,5 +1,6 @@
 //! A small HTTP server that can be killed, with all its connections.
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,6 +37,10 @@
     pub method: String,
     /// Path without query.
     pub path: String,
+    /// Query, without its question mark.
+    pub query: String,
+    /// Headers; names in lower case.
+    pub headers: BTreeMap<String, String>,
     /// The request id, if the caller sent one.
     pub request_id: Option<String>,
     /// Body.
@@ -43,6 +48,17 @@
 }
 
 impl StandInRequest {
+    /// A header's value; empty when there is none.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// A value of the query; empty when there is none.
+    pub fn parameter(&self, name: &str) -> &str {
+        let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+    }
+
     /// The body as JSON; null when it is not JSON.
     pub fn json(&self) -> Value {
         serde_json::from_slice(&self.body).unwrap_or(Value::Null)
@@ -56,9 +72,13 @@
 pub enum StandInAnswer {
     /// Status and JSON body.
     Json(u16, Value),
+    /// Status, headers and body.
+    Reply(u16, Vec<(&'static str, String)>, Bytes),
     /// A stream of server-sent events.
     Events(PartStream),
-    /// The connection is closed without an answer.
+    /// The same, with headers.
+    MarkedEvents(Vec<(&'static str, String)>, PartStream),
+    /// No answer ever comes.
     Hang,
 }
 
@@ -66,7 +86,8 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Json(status, value) => write!(f, "Json({status}, {value})"),
-            Self::Events(_) => f.write_str("Events"),
+            Self::Reply(status, _, body) => write!(f, "Reply({status}, {} bytes)", body.len()),
+            Self::Events(_) | Self::MarkedEvents(..) => f.write_str("Events"),
             Self::Hang => f.write_str("Hang"),
         }
     }
@@ -160,6 +181,8 @@
     let seen = StandInRequest {
         method: request.method().to_string(),
         path: request.path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        headers: headers(&request),
         request_id: id.clone(),
         body: body.freeze(),
     };
@@ -173,11 +196,32 @@
             }
             builder.body(value.to_string()).map_into_boxed_body()
         }
-        StandInAnswer::Events(parts) => {
-            let mut builder = Response::build(StatusCode::OK);
-            builder.insert_header((CONTENT_TYPE, "text/event-stream"));
-            builder.body(BodyStream::new(parts)).map_into_boxed_body()
+        StandInAnswer::Reply(status, headers, body) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+            let mut builder = Response::build(status);
+            for header in headers {
+                builder.insert_header(header);
+            }
+            builder.body(body).map_into_boxed_body()
         }
+        StandInAnswer::Events(parts) => events(Vec::new(), parts),
+        StandInAnswer::MarkedEvents(headers, parts) => events(headers, parts),
         StandInAnswer::Hang => futures::future::pending().await,
     }
 }
+
+fn headers(request: &Request) -> BTreeMap<String, String> {
+    let text = |value: &actix_http::header::HeaderValue| {
+        String::from_utf8_lossy(value.as_bytes()).into_owned()
+    };
+    request.headers().iter().map(|(name, value)| (name.to_string(), text(value))).collect()
+}
+
+fn events(headers: Vec<(&'static str, String)>, parts: PartStream) -> Response<BoxBody> {
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header((CONTENT_TYPE, "text/event-stream"));
+    for header in headers {
+        builder.insert_header(header);
+    }
+    builder.body(BodyStream::new(parts)).map_into_boxed_body()
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`engine`]: a model engine.
 //! - [`service`]: a plain service.
 //! - [`stack`]: all of them with entry hosts, on loopback.
+//! - [`fleet`]: the users' platform, with a stack of its own.
 //! - [`client`]: a caller.
 
 pub mod client;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
-mod http;
+pub mod http;
 pub mod service;
 pub mod stack;
 pub mod store;
--- a/components/standins/src/stack.rs
+++ b/components/standins/src/stack.rs
@@ -11,6 +11,7 @@
 use wagtailledge_decisions::configuration::to_items;
 use wagtailledge_decisions::host::HostStatus;
 use wagtailledge_entry::EntryHost;
+use wagtailledge_entry::HostAdapters;
 use wagtailledge_entry::etcd_adapters;
 use wagtailledge_inventory::InventoryCatalog;
 use wagtailledge_inventory::InventoryDocument;
@@ -30,7 +31,7 @@
 use crate::store::StoreStandIn;
 
 /// Secret of the local stack.
-const SECRET: &str = "a secret for the loopback interface only";
+pub const SECRET: &str = "a secret for the loopback interface only";
 /// Between two looks at a condition.
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -64,12 +65,23 @@
 
 impl HostThread {
     fn start(settings: HostSettings) -> Self {
+        Self::start_with(settings, etcd_adapters)
+    }
+
+    /// Starts a host that speaks to the outside by what `adapters` makes.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub fn start_with(
+        settings: HostSettings,
+        adapters: impl FnOnce(&HostSettings) -> HostAdapters + Send + 'static,
+    ) -> Self {
         let name = settings.host.name.clone();
         let (ready, addresses) = mpsc::channel();
         let (end, ended) = oneshot::channel();
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
-                let host = EntryHost::start(&settings, etcd_adapters(&settings))
+                let host = EntryHost::start(&settings, adapters(&settings))
                     .await
                     .expect("free loopback ports");
                 let _ = ready.send((host.caller_address(), host.peer_address()));
