Fit loads at once to what the weight store carries, also across leaders

That store serves one load at full speed; each more makes all take longer (13 s each becomes minutes), and a busy engine takes no other order about a model. The limit on loads at once did not hold, as an engine counted as having a copy from the start of the load, and each new leader began its own loads beside those of its predecessors.

Ruled out: hosts that do not come back after a roll (70 of 70 serve), refusals by hosts (563 of some 2,000 lost).

Now: a copy counts once the load has ended; engines that are busy with unknown work count as loads; the number at once starts at two, grows by one with each load that takes as long as declared and is halved when one takes longer; such a load is ready when the engine says so, not when it was expected; an engine that is busy for long is looked at less often (150 ms to 1.2 s, it was 150 ms).

--- a/components/decisions/src/placement/budget.rs
+++ b/components/decisions/src/placement/budget.rs
@@ -10,19 +10,41 @@
 const MAX_CREDIT: u32 = 2;
 
 /// Paces load orders. The shares of all scopes sum to the deployment's limits.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct LoadBudget {
     /// Load starts are paced as if the last one had been at this moment.
     paced: Moment,
+    /// Loads that the weight store carries at once without slowing each other down, as far as is
+    /// known. Never zero.
+    carried: usize,
 }
 
+/// Loads at once that are tried before any was seen to end.
+const FIRST_CARRIED: usize = 2;
+
 impl LoadBudget {
-    /// Model loads that may be under way at once in this scope.
-    pub fn concurrent(catalog: &InventoryCatalog) -> usize {
+    /// Most model loads that may be under way at once in this scope.
+    fn most(catalog: &InventoryCatalog) -> usize {
         let scopes = catalog.scopes.len().max(1);
         (catalog.rules.store_concurrent_loads as usize / scopes).max(1)
     }
 
+    /// Model loads that may be under way at once in this scope. More would only make each of them
+    /// take longer.
+    pub fn concurrent(&self, catalog: &InventoryCatalog) -> usize {
+        self.carried.min(Self::most(catalog))
+    }
+
+    /// A load took as long as declared: the weight store may carry one more.
+    pub fn ended_in_time(&mut self, catalog: &InventoryCatalog) {
+        self.carried = (self.carried + 1).min(Self::most(catalog));
+    }
+
+    /// A load takes longer than declared: the weight store carries fewer.
+    pub fn is_late(&mut self) {
+        self.carried = (self.carried / 2).max(1);
+    }
+
     /// Adapter loads that may be under way at once in this scope.
     pub fn adapters(catalog: &InventoryCatalog) -> usize {
         let scopes = catalog.scopes.len().max(1);
@@ -42,7 +64,7 @@
     /// Takes one model load out of the rate; false when it must wait.
     pub fn take(&mut self, now: Moment, catalog: &InventoryCatalog) -> bool {
         let interval = Self::interval(catalog);
-        let credit = interval * MAX_CREDIT.min(Self::concurrent(catalog) as u32);
+        let credit = interval * MAX_CREDIT.min(Self::most(catalog) as u32);
         let next = self.paced.max(now.before(credit)).after(interval);
         if next > now {
             return false;
@@ -53,6 +75,6 @@
 
     /// Starts with the credit used up, as a new leader must: its predecessor may have used it.
     pub fn spent(now: Moment) -> Self {
-        Self { paced: now }
+        Self { paced: now, carried: FIRST_CARRIED }
     }
 }
--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -115,6 +115,8 @@
     /// It was busy with something that `replicas` does not show when it last said what it holds:
     /// it may hold more by now, so nothing is loaded until it was seen at rest.
     pub unexplained: bool,
+    /// Since when every listing said that it is busy; `None` when the last one did not.
+    pub busy_since: Option<Moment>,
     /// When it last accepted an order, or said something new when asked.
     pub changed: Moment,
     /// When to claim it next.
@@ -211,6 +213,9 @@
                 replica.phase = ReplicaPhase::Ready;
                 replica.since = now;
                 ready.push(*asset);
+                // A load leaves copies of the weights.
+                self.copies.memory.insert(*asset);
+                self.copies.disk.insert(*asset);
             }
         }
         ready
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -32,6 +32,8 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
 /// What an engine lists when it is asked is no older than this.
 const REPORT_LAG: Duration = Duration::from_secs(1);
+/// Longest time between two looks at an engine that is busy for long.
+const BUSY_LOOK: Duration = Duration::from_millis(1_200);
 /// Refusals in a row after which an engine is asked what it holds.
 const MAX_CONFLICTS: u32 = 4;
 /// Allowance for the way of an order and for rounding in the expected time of a load.
@@ -149,6 +151,7 @@
             return;
         };
         let estimate = self.load_estimate(context, upstream, asset);
+        let from_store = !self.has_copy(upstream, asset);
         let Some(engine) = self.engines.get_mut(upstream) else {
             return;
         };
@@ -160,9 +163,15 @@
             OrderKind::Claim => {}
             OrderKind::LoadModel { .. } => {
                 engine.end_model_unloads(context.catalog);
-                engine.copies.memory.insert(asset);
-                engine.copies.disk.insert(asset);
-                engine.set_phase(asset, now, ReplicaPhase::Loading(Some(now.after(estimate))));
+                let due = now.after(estimate);
+                if from_store {
+                    // How long it takes depends on the other loads: the engine is asked.
+                    engine.set_phase(asset, now, ReplicaPhase::Loading(None));
+                    engine.next_order = due.after(context.timing.loading_claim);
+                    engine.next_claim = engine.next_order;
+                } else {
+                    engine.set_phase(asset, now, ReplicaPhase::Loading(Some(due)));
+                }
             }
             OrderKind::LoadAdapter { .. } => {
                 let due = now.after(ADAPTER_LOAD);
@@ -347,23 +356,48 @@
         engine.unexplained =
             listing.busy && under_way.is_empty() && !engine.unloads_model(context.catalog);
         let next_ready = under_way.iter().filter_map(|(_, entry)| entry.due()).min();
+        let late = under_way.iter().any(|(asset, entry)| {
+            let declared = context
+                .catalog
+                .assets
+                .get(*asset)
+                .map_or(Duration::ZERO, |record| record.loads.store.0);
+            entry.due().is_none() && context.now.since(entry.since) > declared + declared / 4
+        });
         for (asset, entry) in under_way {
             engine.replicas.entry(asset).or_insert(entry);
         }
         let pause = if engine.is_loading() { context.timing.loading_claim } else { interval };
+        if !listing.busy {
+            engine.busy_since = None;
+        }
         if let Some(due) = next_ready {
             engine.next_order = due;
             engine.next_claim = due.after(LOAD_SLACK);
         } else if listing.busy {
-            engine.next_order = context.now.after(context.timing.loading_claim);
+            // The longer it has taken, the longer it will.
+            let since = *engine.busy_since.get_or_insert(context.now);
+            let shortest = context.timing.loading_claim;
+            let look = (context.now.since(since) / 2).clamp(shortest, BUSY_LOOK.max(shortest));
+            engine.next_order = context.now.after(look);
             engine.next_claim = engine.next_order;
         } else if !context.publishes(upstream) {
             engine.next_claim = context.now.after(pause);
         }
+        if late {
+            self.budget.is_late();
+        }
         for (asset, took) in loads {
-            if context.catalog.assets.get(asset).is_some_and(|record| record.base.is_none()) {
+            let Some(record) = context.catalog.assets.get(asset) else {
+                continue;
+            };
+            if record.base.is_none() {
                 self.learn_load_time(took);
             }
+            let declared = record.loads.store.0;
+            if took >= declared / 2 && took <= declared + declared / 4 {
+                self.budget.ended_in_time(context.catalog);
+            }
         }
     }
 
@@ -383,8 +417,7 @@
         }
     }
 
-    /// Replicas that a busy engine may still be loading although it does not list them: such a load
-    /// takes as long as from the weight store.
+    /// Replicas that a busy engine may still be loading although it does not list them.
     fn recently_ordered(
         &self,
         now: Moment,
@@ -397,10 +430,10 @@
             ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading => false,
         };
         let loading = |(asset, entry): (&AssetKey, &ReplicaEntry)| {
-            let longest =
-                catalog.assets.get(*asset).map_or(Duration::ZERO, |record| record.loads.store.0);
-            let due = entry.since.after(longest).max(now.after(LATE_LOAD));
-            (*asset, ReplicaEntry { phase: ReplicaPhase::Loading(Some(due)), ..*entry })
+            let copied = self.copies.memory.contains(asset) || self.copies.disk.contains(asset);
+            let model = catalog.assets.get(*asset).is_none_or(|record| record.base.is_none());
+            let due = (copied || !model).then(|| now.after(LATE_LOAD));
+            (*asset, ReplicaEntry { phase: ReplicaPhase::Loading(due), ..*entry })
         };
         self.replicas.iter().filter(|(_, replica)| recent(replica)).map(loading).collect()
     }
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -250,7 +250,7 @@
             None => OrderKind::LoadModel { asset: name, bytes },
         };
         if !adapter && !self.has_copy(upstream, asset) {
-            if models >= LoadBudget::concurrent(context.catalog) {
+            if models >= self.budget.concurrent(context.catalog) {
                 return;
             }
             if !self.budget.take(context.now, context.catalog) {
@@ -286,6 +286,8 @@
     fn loading(&self, context: &PlacementContext<'_>) -> (usize, usize) {
         let mut counts = (0, 0);
         for (key, engine) in &self.engines {
+            // Probably a load for a predecessor.
+            counts.0 += usize::from(engine.unexplained);
             for (asset, replica) in &engine.replicas {
                 if !is_coming(replica.phase) {
                     continue;
--- a/components/decisions/tests/engines.rs
+++ b/components/decisions/tests/engines.rs
@@ -162,3 +162,44 @@
     }
     panic!("orders still expect the wrong number");
 }
+
+/// A leader whose engine serves nothing and has no copy of any weights.
+fn leader_of_an_empty_engine() -> TestLeader {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    leader.answer(&OrderKind::Claim, listing(0, false, &[]));
+    leader
+}
+
+#[test]
+fn can_wait_for_word_of_a_load_from_the_weight_store() {
+    let mut leader = leader_of_an_empty_engine();
+    leader.ask("heat");
+    assert_eq!(leader.wait_for_order(1_000), Some(load("heat")));
+    leader.answer(&load("heat"), OrderOutcome::Started);
+    // Six seconds are declared; other loads make it slower.
+    assert_eq!(leader.wait_for_order(6_000), None);
+    for _ in 0..3 {
+        assert_eq!(leader.wait_for_order(1_500), Some(OrderKind::Claim));
+        leader.answer(&OrderKind::Claim, listing(1, true, &[]));
+        assert!(leader.host.served().is_empty(), "it is not there yet");
+    }
+    assert_eq!(leader.wait_for_order(1_500), Some(OrderKind::Claim));
+    leader.answer(&OrderKind::Claim, listing(1, false, &["heat@1"]));
+    leader.pass(20);
+    assert_eq!(leader.host.served().len(), 1);
+}
+
+#[test]
+fn can_look_less_often_the_longer_an_engine_is_busy() {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    leader.answer(&OrderKind::Claim, listing(3, true, &[]));
+    let started = leader.host.now;
+    let mut looks = 0;
+    while leader.host.now.since(started) < Duration::from_secs(20) {
+        if leader.wait_for_order(2_000) == Some(OrderKind::Claim) {
+            looks += 1;
+            leader.answer(&OrderKind::Claim, listing(3, true, &[]));
+        }
+    }
+    assert!((15..=25).contains(&looks), "{looks} looks in 20 s");
+}
