Lead from the hosts with the most processor time; load first what most wait for

Order lines: the leader was a host of 0.12 cores, whose orders were given up after 300 ms (28 of 39 lost or not sent, 44 to 48 s); and the one model that 30 requests a second wanted shared the weight store with two loads that one request each had asked for, and took 40 s instead of 13.

Ruled out: the engines (they answer other hosts within 5 ms), the plan's choice of the place.

Now hosts tell how much processor time they have ([host] cores): smaller ones leave larger ones 500 ms of a start for the lease, and a holder hands over, once a minute at most, to a host with twice its processor time. The next load from the weight store goes to the model that most requests wait for; one load at a time until one has ended in time. Callers who leave are logged with what they waited for.

--- a/components/decisions/benches/slopes/deployment.rs
+++ b/components/decisions/benches/slopes/deployment.rs
@@ -129,6 +129,7 @@
         scope: zone(zone_index),
         address: format!("10.9.{zone_index}.{number}:7000"),
         incarnation: 0x1234_5678_9abc_def0,
+        capacity: 0,
     }
 }
 
@@ -141,6 +142,7 @@
             zone: stamp.zone,
             scope: stamp.scope,
             peer_address: stamp.address,
+            capacity: 0,
             state: ListedState::Live,
         }
     };
@@ -149,6 +151,7 @@
         zone: zone(index % ZONES),
         scope: zone(index % ZONES),
         peer_address: String::new(),
+        capacity: 0,
         state: ListedState::Live,
     };
     (0..size.hosts).map(entry).chain((0..size.engines).map(engine)).collect()
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -18,6 +18,8 @@
     Route,
     /// A request is refused.
     Refuse,
+    /// A request ends because its caller went away.
+    Abandon,
     /// A replica is loaded.
     Load,
     /// A replica is unloaded.
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -40,6 +40,8 @@
     pub scope: String,
     /// Address for messages between entry hosts; empty for upstreams.
     pub peer_address: String,
+    /// Processor time an entry host may use, in thousandths of a core; 0 when that is not known.
+    pub capacity: u32,
     /// Whether it takes new work.
     pub state: ListedState,
 }
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -256,10 +256,28 @@
     }
 
     /// The caller went away.
-    pub(super) fn caller_left(&mut self, ticket: RequestTicket, effects: &mut Vec<HostEffect>) {
-        if let Some(key) = self.tickets.get(&ticket).copied() {
-            self.settle(key, effects);
+    pub(super) fn caller_left(
+        &mut self,
+        now: Moment,
+        ticket: RequestTicket,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        let Some(key) = self.tickets.get(&ticket).copied() else {
+            return;
+        };
+        let request = &self.requests[key];
+        if !request.settled {
+            let waited = now.since(request.arrived).as_millis();
+            effects.push(HostEffect::Note(DecisionNote {
+                kind: DecisionKind::Abandon,
+                ticket: Some(ticket),
+                subject: self.target_name(request.target),
+                choice: format!("after {waited} ms"),
+                reason: stage_text(request.stage),
+                alternatives: 0,
+            }));
         }
+        self.settle(key, effects);
     }
 
     /// Refuses every request whose time is up.
@@ -368,6 +386,15 @@
     }
 }
 
+fn stage_text(stage: RequestStage) -> &'static str {
+    match stage {
+        RequestStage::Claiming => "waited for the ledger",
+        RequestStage::Waiting => "waited for an upstream",
+        RequestStage::Dispatched(_) => "waited for an answer",
+        RequestStage::Streaming(_) => "was being answered",
+    }
+}
+
 fn reason_text(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::DeadlinePassed => "deadline passed",
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -205,7 +205,7 @@
         match event {
             HostEvent::Tick => self.tick(now, effects),
             HostEvent::Arrived(request) => self.arrived(now, request, effects),
-            HostEvent::CallerLeft(ticket) => self.caller_left(ticket, effects),
+            HostEvent::CallerLeft(ticket) => self.caller_left(now, ticket, effects),
             HostEvent::AttemptStarted(request, attempt) => {
                 self.attempt_started(request, attempt, effects);
             }
@@ -450,7 +450,7 @@
     /// Starts or ends a term as leader.
     fn leadership_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         let held = self.lease.held_epoch();
-        if let (None, true, Some(placement)) = (held, self.draining, &self.placement) {
+        if let (None, Some(placement)) = (held, &self.placement) {
             let epoch = placement.epoch;
             for stamp in self.members.in_scope(&self.me.scope, &self.me.name) {
                 let message = PeerMessage::LeaderEnded { epoch };
--- a/components/decisions/src/identity.rs
+++ b/components/decisions/src/identity.rs
@@ -16,4 +16,7 @@
     pub address: String,
     /// Drawn at random at each start.
     pub incarnation: u64,
+    /// Processor time it may use, in thousandths of a core; 0 when that is not known.
+    #[serde(default)]
+    pub capacity: u32,
 }
--- a/components/decisions/src/lease/holder.rs
+++ b/components/decisions/src/lease/holder.rs
@@ -30,6 +30,8 @@
     pub version: u64,
     /// No order may be written at or after this moment.
     pub authority_until: Moment,
+    /// When the lease was taken.
+    pub since: Moment,
     /// When the last renewal that is known to have succeeded was sent.
     pub renewed: Moment,
     /// A renewal that may have been written; its list of successors may be in force.
@@ -45,6 +47,7 @@
             record,
             version,
             authority_until: sent.after(timing.lease_authority()),
+            since: sent,
             renewed: sent,
             unsettled: None,
             rounds: BTreeMap::new(),
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -26,6 +26,15 @@
 const READ_PAUSE: Duration = Duration::from_millis(500);
 /// Rivals spread their takeover over this time.
 const TAKE_SPREAD: Duration = Duration::from_millis(400);
+/// Rivals leave hosts with more processor time this much of a start: long enough for one of them to
+/// take the lease and for others to hear of it.
+const TAKE_DEFERENCE: Duration = Duration::from_millis(500);
+/// A holder gives up the lease for a host with this many times its processor time.
+const YIELD_FACTOR: u32 = 2;
+/// After that it keeps the lease this long, should the other host not take it.
+const YIELD_PAUSE: Duration = Duration::from_secs(60);
+/// A term lasts at least this long before it ends for a host with more processor time.
+const YIELD_AFTER: Duration = Duration::from_secs(2);
 
 /// The record as last read, and since when it has been the same.
 #[derive(Debug, Clone)]
@@ -55,6 +64,13 @@
 }
 
 impl LeaseContext<'_> {
+    /// Whether another host of the scope has more processor time than `factor` times this one's.
+    fn is_outdone(&self, factor: u32) -> bool {
+        let oldest = self.now.before(self.timing.peer_timeout);
+        let more = self.me.capacity.saturating_mul(factor).saturating_add(1);
+        self.members.has_capable(&self.me.scope, &self.me.name, oldest, more)
+    }
+
     /// Other hosts of the scope heard lately.
     fn heard(&self) -> Vec<HostStamp> {
         let oldest = self.now.before(self.timing.peer_timeout);
@@ -74,6 +90,8 @@
     next_call: Moment,
     next_round: Moment,
     next_release: Moment,
+    /// The lease is not given up for another host before this moment.
+    next_yield: Moment,
     /// When the takeover of the observed version starts, once it is allowed.
     take_at: Option<Moment>,
     /// A takeover that may have been written, and when it was sent.
@@ -94,6 +112,7 @@
             next_call: now,
             next_round: now,
             next_release: now,
+            next_yield: now,
             take_at: None,
             taking: None,
             released: None,
@@ -165,7 +184,12 @@
         let successors = held.choose_successors(&context.heard());
         let mut record = held.next_record(successors);
         let mut call = LeaseCall::Renew;
-        if self.draining {
+        let long = context.now >= held.since.after(YIELD_AFTER).max(self.next_yield);
+        let yields = long && context.is_outdone(YIELD_FACTOR);
+        if yields {
+            self.next_yield = context.now.after(YIELD_PAUSE);
+        }
+        if self.draining || yields {
             record.ended = true;
             // No order may leave after the record says so.
             held.authority_until = Moment::default();
@@ -196,7 +220,8 @@
         if self.may_take(context) {
             let start = *self.take_at.get_or_insert_with(|| {
                 let spread = context.rng.random_range(0..=TAKE_SPREAD.as_micros() as u64);
-                context.now.after(Duration::from_micros(spread))
+                let start = context.now.after(Duration::from_micros(spread));
+                if context.is_outdone(1) { start.after(TAKE_DEFERENCE) } else { start }
             });
             if context.now >= start {
                 self.take(context);
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -69,11 +69,16 @@
                 scope: host.scope.clone(),
                 address: host.peer_address.clone(),
                 incarnation: 0,
+                capacity: host.capacity,
             },
             last_heard: None,
             listed: None,
         });
         record.listed = Some(host.state);
+        // Lists that do not tell it leave what the host itself said.
+        if host.capacity > 0 {
+            record.stamp.capacity = host.capacity;
+        }
         if record.last_heard.is_none() {
             record.stamp.address.clone_from(&host.peer_address);
         }
@@ -146,6 +151,16 @@
         self.records_in(scope).filter(live).map(|record| record.stamp.clone()).collect()
     }
 
+    /// Whether `scope` has an entry host that is listed or was heard since `oldest`, does not leave
+    /// and may use at least `capacity` of processor time, in thousandths of a core.
+    pub fn has_capable(&self, scope: &str, me: &str, oldest: Moment, capacity: u32) -> bool {
+        self.records_in(scope).any(|record| {
+            let present = record.listed == Some(ListedState::Live)
+                || (record.listed.is_none() && record.last_heard.is_some_and(|at| at >= oldest));
+            present && record.stamp.name != me && record.stamp.capacity >= capacity
+        })
+    }
+
     /// Whether the upstream may get new work.
     pub fn upstream_accepts(&self, catalog: &InventoryCatalog, upstream: UpstreamKey) -> bool {
         self.upstream_state(catalog, upstream) == Some(ListedState::Live)
--- a/components/decisions/src/placement/budget.rs
+++ b/components/decisions/src/placement/budget.rs
@@ -20,7 +20,7 @@
 }
 
 /// Loads at once that are tried before any was seen to end.
-const FIRST_CARRIED: usize = 2;
+const FIRST_CARRIED: usize = 1;
 
 impl LoadBudget {
     /// Most model loads that may be under way at once in this scope.
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -1,5 +1,6 @@
 //! Which replicas to load and which to unload.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -146,6 +147,7 @@
             let class = context.catalog.assets[*asset].rank;
             (class.min(demand.rank), demand.earliest, *asset)
         });
+        self.store_turn = self.most_wanted_without_copy(context, &wanted);
         for (asset, demand) in wanted {
             if self.is_responsible(context, asset, demand.earliest) {
                 self.load_if_short(context, asset, demand);
@@ -153,6 +155,26 @@
         }
     }
 
+    /// The model without any replica or copy that most requests wait for. Loads from the weight
+    /// store hold each other up, so one that few wait for must not delay one that many wait for.
+    fn most_wanted_without_copy(
+        &self,
+        context: &PlacementContext<'_>,
+        wanted: &[(AssetKey, AssetDemand)],
+    ) -> Option<AssetKey> {
+        let copied = |asset: AssetKey| {
+            self.engines
+                .keys()
+                .any(|engine| context.accepts(engine) && self.has_copy(engine, asset))
+        };
+        let lacking = wanted.iter().filter(|(asset, demand)| {
+            let model = context.catalog.assets[*asset].base.is_none();
+            model && demand.waiting > 0 && self.survey.useful(*asset) == 0 && !copied(*asset)
+        });
+        let first = lacking.max_by_key(|(_, demand)| (demand.waiting, Reverse(demand.earliest)));
+        first.map(|(asset, _)| *asset)
+    }
+
     fn load_if_short(
         &mut self,
         context: &mut PlacementContext<'_>,
@@ -253,6 +275,9 @@
             if models >= self.budget.concurrent(context.catalog) {
                 return;
             }
+            if self.store_turn.is_some_and(|turn| turn != asset) {
+                return;
+            }
             if !self.budget.take(context.now, context.catalog) {
                 return;
             }
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -104,6 +104,8 @@
     /// Assets this scope cannot place now.
     pub declined: BTreeSet<AssetKey>,
     pub(super) budget: LoadBudget,
+    /// The model that may be loaded from the weight store next; `None` when any may.
+    pub(super) store_turn: Option<AssetKey>,
     /// As of the last plan.
     pub(super) survey: PlacementSurvey,
     /// Engines came, went or changed since everything was last told to routers.
@@ -128,6 +130,7 @@
             reach: BTreeMap::new(),
             declined: BTreeSet::new(),
             budget: LoadBudget::spent(now),
+            store_turn: None,
             survey: PlacementSurvey::default(),
             publish_due: true,
             load_time: None,
--- a/components/decisions/tests/engines.rs
+++ b/components/decisions/tests/engines.rs
@@ -203,3 +203,19 @@
     }
     assert!((15..=25).contains(&looks), "{looks} looks in 20 s");
 }
+
+#[test]
+fn can_load_first_from_the_weight_store_what_most_requests_wait_for() {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    // Both models are asked for before the engine says that it has neither.
+    leader.ask("fan");
+    for _ in 0..5 {
+        leader.ask("heat");
+    }
+    leader.answer(&OrderKind::Claim, listing(0, false, &[]));
+    assert_eq!(
+        leader.wait_for_order(2_000),
+        Some(load("heat")),
+        "five wait for it, one for the other"
+    );
+}
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -4,6 +4,7 @@
 
 use wagtailledge_decisions::HostEffect;
 use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::event::ListedHost;
 use wagtailledge_decisions::event::ListedState;
 use wagtailledge_decisions::event::RegisteredUpstream;
 use wagtailledge_decisions::event::RegistryChange;
@@ -63,6 +64,25 @@
         panic!("no lease and no order within {LEASE_WAIT} ms");
     }
 
+    /// The value of a key that starts with `prefix`, and its version.
+    pub fn stored(&self, prefix: &str) -> Option<(u64, String)> {
+        let mut found = self.store.iter().filter(|(key, _)| key.starts_with(prefix));
+        found.next().map(|(_, stored)| stored.clone())
+    }
+
+    /// Another entry host of the scope is listed.
+    pub fn list_host(&mut self, name: &str, capacity: u32) {
+        let host = ListedHost {
+            name: name.to_owned(),
+            zone: "east".to_owned(),
+            scope: "east".to_owned(),
+            peer_address: format!("{name}:1"),
+            capacity,
+            state: ListedState::Live,
+        };
+        self.submit(HostEvent::Members(vec![host]));
+    }
+
     /// Time passes; the store answers at once.
     pub fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -91,6 +91,7 @@
         scope: "east".to_owned(),
         address: format!("{name}:1"),
         incarnation: 1,
+        capacity: 0,
     }
 }
 
@@ -155,6 +156,7 @@
             zone: "east".to_owned(),
             scope: "east".to_owned(),
             peer_address: String::new(),
+            capacity: 0,
             state: ListedState::Live,
         };
         let upstreams = self.reducer.catalog().upstreams.values();
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -12,9 +12,10 @@
 use cadence::UdpMetricSink;
 
 /// Names of all metrics, as listed in `docs/METRICS.md`.
-pub const METRIC_NAMES: [&str; 16] = [
+pub const METRIC_NAMES: [&str; 17] = [
     "decision.route",
     "decision.refuse",
+    "decision.abandon",
     "decision.load",
     "decision.unload",
     "decision.lead",
--- a/components/entry/src/notes.rs
+++ b/components/entry/src/notes.rs
@@ -38,6 +38,7 @@
     match kind {
         DecisionKind::Route => "route",
         DecisionKind::Refuse => "refuse",
+        DecisionKind::Abandon => "abandon",
         DecisionKind::Load => "load",
         DecisionKind::Unload => "unload",
         DecisionKind::Lead => "lead",
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -172,6 +172,7 @@
             scope: settings.host.scope.as_ref().unwrap_or(&settings.host.zone).clone(),
             address: peers.address().to_string(),
             incarnation: rand::random(),
+            capacity: (settings.host.cores * 1_000.0) as u32,
         };
         let HostAdapters { store, upstreams, orders, sources, front } = adapters;
         let metrics = HostMetrics::new(settings.metrics.statsd).map_err(StartError::Metrics)?;
--- a/components/entry/tests/departures.rs
+++ b/components/entry/tests/departures.rs
@@ -145,6 +145,7 @@
         scope: "east".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         incarnation: 1,
+        capacity: 0,
     };
     let shell = EntryShell::new(parts, me, TimingRules::default(), 1);
     let document = parse_inventory("test", INVENTORY).unwrap();
@@ -154,6 +155,7 @@
         zone: "east".to_owned(),
         scope: "east".to_owned(),
         peer_address: String::new(),
+        capacity: 0,
         state: ListedState::Live,
     };
     shell.submit(HostEvent::Hosts(shell.now(), vec![listed]));
--- a/components/fuzzer/src/world/deliver.rs
+++ b/components/fuzzer/src/world/deliver.rs
@@ -253,6 +253,7 @@
                 zone: slot.zone.clone(),
                 scope: slot.zone.clone(),
                 peer_address: format!("10.2.{index}.0:70"),
+                capacity: 0,
                 state: ListedState::Live,
             });
         }
@@ -263,6 +264,7 @@
                 zone: engine.zone.clone(),
                 scope: engine.zone.clone(),
                 peer_address: String::new(),
+                capacity: 0,
                 state: if leaving { ListedState::Leaving } else { ListedState::Live },
             });
         }
@@ -272,6 +274,7 @@
                 zone: ZONES[*zone].to_owned(),
                 scope: ZONES[*zone].to_owned(),
                 peer_address: String::new(),
+                capacity: 0,
                 state: ListedState::Live,
             });
         }
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -174,6 +174,7 @@
             scope: place.zone.clone(),
             address: format!("10.2.{slot}.0:70"),
             incarnation: place.incarnations,
+            capacity: 0,
         };
         let drift = self.rng.random_range(-MAX_DRIFT..=MAX_DRIFT);
         let seed = self.rng.random();
--- a/components/peers/tests/strangers.rs
+++ b/components/peers/tests/strangers.rs
@@ -22,6 +22,7 @@
         scope: "east".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         incarnation: 1,
+        capacity: 0,
     };
     PeerEnvelope { version, from, message: PeerMessage::ConfigurationAsk { have: 7 } }
 }
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -25,6 +25,9 @@
     /// Scope of placement that the zone belongs to; the zone itself by default.
     #[serde(default)]
     pub scope: Option<String>,
+    /// Processor cores that this host may use; leaders are chosen among those with the most.
+    #[serde(default)]
+    pub cores: f64,
 }
 
 /// `[listen]`: where this host listens.
@@ -304,6 +307,7 @@
     };
     require(!settings.host.name.is_empty(), "[host] name", "must not be empty");
     require(!settings.host.zone.is_empty(), "[host] zone", "must not be empty");
+    require(settings.host.cores >= 0.0, "[host] cores", "must not be negative");
     let secret = settings.security.shared_secret.len();
     let store = settings.platform.protocol == PlatformProtocol::Store;
     let long = secret >= MIN_SECRET_BYTES || (store && secret == 0);
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -55,9 +55,11 @@
 
 /// Runs an entry host.
 pub fn run(path: &Path) -> Result<(), Vec<String>> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .target(env_logger::Target::Stdout)
-        .init();
+    env_logger::Builder::from_env(
+        env_logger::Env::default().default_filter_or("info,jsonrpsee_server=warn"),
+    )
+    .target(env_logger::Target::Stdout)
+    .init();
     let settings = load_settings(path)?;
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let file = SettingsFile { path: path.to_owned(), settings, text };
