--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -18,6 +18,10 @@
 
 use super::state::HostReducer;
 
+/// Shared tokens from which on it is worth to meet at one upstream: reading fewer anew takes less
+/// time than an uneven load costs.
+const AFFINITY_TOKENS: u32 = 1_000;
+
 impl HostReducer {
     /// Serves all targets that have waiting requests: the highest class first, and within a class
     /// those with the fewest running, so that one model's burst does not starve the others.
@@ -156,8 +160,12 @@
         let terms = request.terms.as_ref().filter(|terms| terms.sticky)?;
         // The last part is the request's own.
         let (_, shared) = terms.prompt.parts.split_last()?;
+        let tokens: u32 = shared.iter().map(|(_, tokens)| *tokens).sum();
+        if tokens < AFFINITY_TOKENS {
+            return None;
+        }
         let digest = |hash, (part, _): &(u64, u32)| xxh3_64_with_seed(&part.to_le_bytes(), hash);
-        (!shared.is_empty()).then(|| shared.iter().fold(0, digest))
+        Some(shared.iter().fold(0, digest))
     }
 
     fn dispatch(
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -177,6 +177,13 @@
         self.following.take_if(|leader| leader.stamp == *from && leader.epoch == epoch);
     }
 
+    /// Whether another host leads this one's scope and was heard lately.
+    pub fn hears_leader(&self, now: Moment) -> bool {
+        self.following.as_ref().is_some_and(|leader| {
+            leader.stamp != self.me && now.since(leader.heard) < self.timing.peer_timeout
+        })
+    }
+
     pub(super) fn known_assets(&self, names: &[String]) -> BTreeSet<AssetKey> {
         names.iter().filter_map(|name| self.catalog.asset_named(name)).collect()
     }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -221,7 +221,7 @@
                 self.plan(now, effects);
             }
             HostEvent::Load(upstream, load) => {
-                self.tracker.reported(upstream, load.running + load.waiting);
+                self.tracker.reported(now, upstream, load.running + load.waiting);
             }
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
--- a/components/decisions/src/routing/tracker.rs
+++ b/components/decisions/src/routing/tracker.rs
@@ -19,6 +19,9 @@
 /// Time that an upstream which said "busy" gets no new request from this host.
 const BUSY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a report loses most of its meaning: requests of a second or two have ended.
+const REPORT_MEMORY: Duration = Duration::from_secs(2);
+
 /// How much busier than the average an upstream may be and still get requests by affinity.
 const LOAD_BOUND: f64 = 1.25;
 /// The same, in requests, so that little load does not count.
@@ -33,6 +36,8 @@
     reported: u32,
     /// Dispatches of this host since that report.
     since_report: u32,
+    /// When that report came.
+    reported_at: Moment,
     /// Failures in a row.
     failures: u32,
     /// No new request before this moment.
@@ -78,9 +83,9 @@
     }
 
     /// Chooses among open upstreams. Requests with the same `affinity` go to the same one as long
-    /// as it is not much busier than the others. Else the own zone goes first, then the less loaded
-    /// of two drawn at random, so that hosts with the same lagged reports do not all choose the
-    /// same one.
+    /// as it is not much busier than the others. Else the own zone goes first, whose
+    /// upstreams a partition leaves, then the less loaded of two drawn at random, so that hosts
+    /// with the same lagged reports do not all choose the same one.
     pub fn choose(
         &self,
         now: Moment,
@@ -91,7 +96,7 @@
         let open: Vec<&UpstreamOffer> =
             offers.iter().filter(|offer| self.is_open(now, offer)).collect();
         if let Some(affinity) = affinity.filter(|_| open.len() > 1) {
-            return self.choose_by_affinity(&open, affinity);
+            return self.choose_by_affinity(now, &open, affinity);
         }
         let local: Vec<&UpstreamOffer> = open.iter().copied().filter(|offer| offer.local).collect();
         let pool = if local.is_empty() { open } else { local };
@@ -102,7 +107,8 @@
                 let first = rng.random_range(0..count);
                 let second = (first + rng.random_range(1..count)) % count;
                 let (first, second) = (pool[first], pool[second]);
-                let lighter = self.expected_load(first.key) <= self.expected_load(second.key);
+                let lighter =
+                    self.expected_load(now, first.key) <= self.expected_load(now, second.key);
                 Some(if lighter { first.key } else { second.key })
             }
         }
@@ -110,20 +116,31 @@
 
     /// The first upstream in the order that `affinity` gives all hosts alike, passing over those
     /// that are much busier than the average.
-    fn choose_by_affinity(&self, open: &[&UpstreamOffer], affinity: u64) -> Option<UpstreamKey> {
-        let total: u32 = open.iter().map(|offer| self.expected_load(offer.key)).sum();
+    fn choose_by_affinity(
+        &self,
+        now: Moment,
+        open: &[&UpstreamOffer],
+        affinity: u64,
+    ) -> Option<UpstreamKey> {
+        let total: u32 = open.iter().map(|offer| self.expected_load(now, offer.key)).sum();
         let average = f64::from(total) / open.len() as f64;
         let bound = average * LOAD_BOUND + LOAD_SLACK;
         let place =
             |offer: &&&UpstreamOffer| xxh3_64_with_seed(&offer.digest.to_le_bytes(), affinity);
-        let light = open.iter().filter(|offer| f64::from(self.expected_load(offer.key)) <= bound);
+        let light =
+            open.iter().filter(|offer| f64::from(self.expected_load(now, offer.key)) <= bound);
         light.max_by_key(place).map(|offer| offer.key)
     }
 
-    /// Requests expected there: the lagged report and what this host sent since.
-    pub fn expected_load(&self, key: UpstreamKey) -> u32 {
-        let status = self.statuses.get(key);
-        status.map_or(0, |status| (status.reported + status.since_report).max(status.inflight))
+    /// Requests expected there: the last report, which counts less the older it is, and what this
+    /// host sent since.
+    pub fn expected_load(&self, now: Moment, key: UpstreamKey) -> u32 {
+        let Some(status) = self.statuses.get(key) else {
+            return 0;
+        };
+        let age = now.since(status.reported_at).as_secs_f64() / REPORT_MEMORY.as_secs_f64();
+        let known = f64::from(status.reported + status.since_report) * (-age).exp();
+        (known.round() as u32).max(status.inflight)
     }
 
     /// Notes a dispatch.
@@ -174,8 +191,9 @@
     }
 
     /// Takes in a load report.
-    pub fn reported(&mut self, key: UpstreamKey, load: u32) {
+    pub fn reported(&mut self, now: Moment, key: UpstreamKey, load: u32) {
         if let Some(status) = self.status(key) {
+            status.reported_at = now;
             status.reported = load;
             status.since_report = 0;
         }
@@ -219,12 +237,15 @@
         let mut keys: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
         let (near, nearer, far) = (keys.insert(()), keys.insert(()), keys.insert(()));
         let mut tracker = UpstreamTracker::default();
-        tracker.reported(near, 9);
+        let start = Moment(1_000_000);
+        tracker.reported(start, near, 9);
         let offer = |key, local| UpstreamOffer { key, slots: 8, local, digest: 1 };
         let offers = [offer(near, true), offer(nearer, true), offer(far, false)];
         let mut rng = SmallRng::seed_from_u64(1);
         for _ in 0..100 {
-            assert_eq!(tracker.choose(Moment(0), &offers, None, &mut rng), Some(nearer));
+            assert_eq!(tracker.choose(start, &offers, None, &mut rng), Some(nearer));
         }
+        let later = start.after(REPORT_MEMORY * 5);
+        assert_eq!(tracker.expected_load(later, near), 0, "the report is too old");
     }
 }
