--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -144,6 +144,9 @@
     Load(UpstreamKey, UpstreamLoad),
     /// The platform's configuration, whole, with its revision.
     Inventory(u64, ItemMap),
+    /// The lease record of this host's scope as the key-value service tells it without being asked:
+    /// its version and value.
+    Lease(u64, String),
     /// All entry hosts that the platform knows.
     Members(Vec<ListedHost>),
     /// Changes among the upstreams that register themselves.
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -228,6 +228,11 @@
                     self.configuration_changed(now, effects);
                 }
             }
+            HostEvent::Lease(version, value) => {
+                self.with_lease(now, effects, |lease, context| {
+                    lease.told(context, version, &value);
+                });
+            }
             HostEvent::Members(hosts) => self.members.apply_members(&hosts),
             HostEvent::Registry(changes) => self.registry_changed(now, changes, effects),
             HostEvent::Hosts(asked, hosts) => self.hosts_listed(now, asked, &hosts, effects),
--- a/components/decisions/src/lease/mod.rs
+++ b/components/decisions/src/lease/mod.rs
@@ -14,6 +14,7 @@
 
 pub use holder::HeldLease;
 pub use record::LeaseRecord;
+pub use record::lease_key;
 pub use state::LeaseContext;
 pub use state::LeaseState;
 pub use successor::SuccessorState;
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -349,6 +349,15 @@
         }
     }
 
+    /// Takes in a record that was told without being asked for. A rival that knows since when the
+    /// record has been the same need not wait for that long again once the leader falls silent.
+    pub fn told(&mut self, context: &mut LeaseContext<'_>, version: u64, value: &str) {
+        let known = self.observed.as_ref().map_or(0, |observed| observed.version);
+        if self.held.is_none() && self.taking.is_none() && version > known {
+            self.seen(context, version, LeaseRecord::parse(value));
+        }
+    }
+
     fn seen(&mut self, context: &mut LeaseContext<'_>, version: u64, record: Option<LeaseRecord>) {
         if self.held.is_some() {
             self.seen_as_holder(context, version, record);
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -5,7 +5,13 @@
 use std::time::Duration;
 
 use support::leader::TestLeader;
+use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::lease::LeaseRecord;
+use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::TableUpdate;
 
 const INVENTORY: &str = r#"
 [[class]]
@@ -64,3 +70,43 @@
         assert_eq!(lease(&leader).epoch, 2);
     }
 }
+
+#[test]
+fn can_take_over_sooner_when_the_record_was_seen_before_the_leader_fell_silent() {
+    let record = LeaseRecord {
+        holder: support::stamp("east-2"),
+        epoch: 1,
+        renewals: 9,
+        successors: Vec::new(),
+        ended: false,
+    };
+    let takeover = |told: bool| {
+        let mut leader = TestLeader::waiting(INVENTORY, "llm");
+        leader.store_value("lease/east", &record.to_value());
+        let started = leader.host.now;
+        if told {
+            leader.submit(HostEvent::Lease(1, record.to_value()));
+        }
+        // The leader is heard once more and then no longer: until then nobody reads the record.
+        leader.host.hear(PeerMessage::Leader(LeaderNotice {
+            epoch: 1,
+            successors: Vec::new(),
+            revision: 1,
+            update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
+            registry: RegistryUpdate::default(),
+            declined: Vec::new(),
+        }));
+        while lease(&leader).epoch == 1 {
+            leader.pass(10);
+            assert!(leader.host.now.since(started) < Duration::from_secs(20), "nobody leads");
+        }
+        leader.host.now.since(started)
+    };
+    let timing = TimingRules::default();
+    let told = takeover(true);
+    assert!(told >= timing.lease_ttl + timing.lease_margin, "the holder may still have authority");
+    let longest = timing.lease_ttl + timing.lease_margin + Duration::from_secs(1);
+    assert!(told <= longest, "{told:?} from the last renewal that was seen");
+    let untold = takeover(false);
+    assert!(untold >= told + Duration::from_secs(2), "{untold:?} without, {told:?} with");
+}
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -38,6 +38,18 @@
 impl TestLeader {
     /// A host that has just taken the lease, with one engine of `service` that registered itself.
     pub fn with_engine(inventory: &str, service: &str) -> Self {
+        let mut leader = Self::waiting(inventory, service);
+        for _ in 0..LEASE_WAIT / 10 {
+            leader.pass(10);
+            if !leader.open.is_empty() {
+                return leader;
+            }
+        }
+        panic!("no lease and no order within {LEASE_WAIT} ms");
+    }
+
+    /// The same before it looked at the lease.
+    pub fn waiting(inventory: &str, service: &str) -> Self {
         let mut host = TestHost::with_inventory(inventory);
         let engine = RegisteredUpstream {
             name: "llm-1".to_owned(),
@@ -53,15 +65,13 @@
             listing: None,
         };
         host.submit(HostEvent::Registry(vec![RegistryChange::Present(Box::new(engine))]));
-        let mut leader =
-            Self { host, store: BTreeMap::new(), revision: 0, seen: 0, open: Vec::new() };
-        for _ in 0..LEASE_WAIT / 10 {
-            leader.pass(10);
-            if !leader.open.is_empty() {
-                return leader;
-            }
-        }
-        panic!("no lease and no order within {LEASE_WAIT} ms");
+        Self { host, store: BTreeMap::new(), revision: 0, seen: 0, open: Vec::new() }
+    }
+
+    /// Another host writes a key.
+    pub fn store_value(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        self.store.insert(key.to_owned(), (self.revision, value.to_owned()));
     }
 
     /// The value of a key that starts with `prefix`, and its version.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 mod notes;
 pub mod run;
+mod scrape;
 pub mod shell;
 
 pub use adapters::EventSource;
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters, gauges and timers by statsd.
+//! Counters, gauges and timers, by statsd and as text.
 
 use std::net::SocketAddr;
 use std::net::UdpSocket;
@@ -6,11 +6,12 @@
 
 use cadence::Counted;
 use cadence::Gauged;
-use cadence::NopMetricSink;
 use cadence::StatsdClient;
 use cadence::Timed;
 use cadence::UdpMetricSink;
 
+use crate::scrape::TextSink;
+
 /// Names of all metrics, as listed in `docs/METRICS.md`.
 pub const METRIC_NAMES: [&str; 17] = [
     "decision.route",
@@ -32,27 +33,27 @@
     "ledger.unrecorded",
 ];
 
-/// Sends metrics; failures to send are ignored, as metrics must never slow down a request.
+/// Keeps and sends metrics; failures are ignored, as metrics must never slow down a request.
 #[derive(Debug)]
 pub struct HostMetrics {
     client: StatsdClient,
+    kept: TextSink,
 }
 
 impl HostMetrics {
-    /// Sends to `receiver`, or nowhere.
+    /// Keeps metrics, and sends them to `receiver` if there is one.
     ///
     /// # Errors
     /// Fails when no socket can be opened.
     pub fn new(receiver: Option<SocketAddr>) -> std::io::Result<Self> {
-        let prefix = "wagtailledge";
-        let Some(receiver) = receiver else {
-            return Ok(Self { client: StatsdClient::from_sink(prefix, NopMetricSink) });
-        };
-        let local = if receiver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-        let socket = UdpSocket::bind(local)?;
-        socket.set_nonblocking(true)?;
-        let sink = UdpMetricSink::from(receiver, socket).map_err(std::io::Error::other)?;
-        Ok(Self { client: StatsdClient::from_sink(prefix, sink) })
+        let kept = TextSink::new(receiver.map(udp_sink).transpose()?);
+        let client = StatsdClient::from_sink("wagtailledge", kept.clone());
+        Ok(Self { client, kept })
+    }
+
+    /// All metrics since the start as text, one a line.
+    pub fn to_text(&self) -> String {
+        self.kept.to_text()
     }
 
     /// Adds one to a counter.
@@ -70,3 +71,10 @@
         let _ = self.client.time(name, span);
     }
 }
+
+fn udp_sink(receiver: SocketAddr) -> std::io::Result<UdpMetricSink> {
+    let local = if receiver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    UdpMetricSink::from(receiver, socket).map_err(std::io::Error::other)
+}
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -20,8 +20,9 @@
 use wagtailledge_frontend::CallerGate;
 use wagtailledge_frontend::FrontLimits;
 use wagtailledge_frontend::FrontServer;
-use wagtailledge_frontend::ReadinessServer;
 use wagtailledge_frontend::RelayServer;
+use wagtailledge_frontend::TextServer;
+use wagtailledge_frontend::readiness_source;
 use wagtailledge_peers::MessageSeal;
 use wagtailledge_peers::PeerClient;
 use wagtailledge_peers::PeerServer;
@@ -118,6 +119,7 @@
     front: Rc<CallerServer>,
     peers: PeerServer,
     drain: Cell<DrainSection>,
+    metrics_address: Option<SocketAddr>,
 }
 
 /// Durations from the settings, with defaults for those not given.
@@ -176,12 +178,14 @@
         };
         let HostAdapters { store, upstreams, orders, sources, front } = adapters;
         let metrics = HostMetrics::new(settings.metrics.statsd).map_err(StartError::Metrics)?;
+        let metrics = Rc::new(metrics);
+        let metrics_address = start_metrics(settings, &metrics)?;
         let parts = ShellParts {
             store,
             upstreams,
             orders,
             peers: PeerClient::new(seal),
-            metrics: Rc::new(metrics),
+            metrics,
             max_answer: settings.limits.answer.0 as usize,
             stream_pause: settings.limits.stream_pause.0,
         };
@@ -194,7 +198,7 @@
             "callers on {}, peers on {}", front.address(), peers.address()
         );
         let drain = Cell::new(settings.drain);
-        Ok(Self { shell, front, peers, drain })
+        Ok(Self { shell, front, peers, drain, metrics_address })
     }
 
     /// Takes over what may change while a host runs: `[retries]` and `[drain]`.
@@ -214,6 +218,11 @@
         self.front.address()
     }
 
+    /// The address where metrics are served as text.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        self.metrics_address
+    }
+
     /// The address for other entry hosts and operators.
     pub fn peer_address(&self) -> SocketAddr {
         self.peers.address()
@@ -269,6 +278,20 @@
     }
 }
 
+fn start_metrics(
+    settings: &HostSettings,
+    metrics: &Rc<HostMetrics>,
+) -> Result<Option<SocketAddr>, StartError> {
+    let Some(address) = settings.listen.metrics else {
+        return Ok(None);
+    };
+    let metrics = Rc::clone(metrics);
+    let source = Rc::new(move || (hyper::StatusCode::OK, metrics.to_text()));
+    let server =
+        TextServer::start(address, source).map_err(|error| StartError::Listen(address, error))?;
+    Ok(Some(server.address()))
+}
+
 async fn start_front(
     settings: &HostSettings,
     front: HostFront,
@@ -288,7 +311,7 @@
             Ok(CallerServer::Completions(server.map_err(failed)?))
         }
         HostFront::Relay { dialect, readiness } => {
-            ReadinessServer::start(readiness, Rc::clone(&gate))
+            TextServer::start(readiness, readiness_source(Rc::clone(&gate)))
                 .map_err(|error| StartError::Listen(readiness, error))?;
             let server = RelayServer::start(address, most, gate, dialect);
             Ok(CallerServer::Relay(server.map_err(failed)?))
--- a/components/frontend/src/relay/mod.rs
+++ b/components/frontend/src/relay/mod.rs
@@ -5,9 +5,12 @@
 mod handle;
 mod readiness;
 mod server;
+mod text;
 
 pub use dialect::IngressDialect;
 pub use dialect::RelayFault;
 pub use dialect::RelayHead;
-pub use readiness::ReadinessServer;
+pub use readiness::readiness_source;
 pub use server::RelayServer;
+pub use text::TextServer;
+pub use text::TextSource;
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -48,11 +48,11 @@
 }
 
 impl FleetStack {
-    /// Starts a deployment and waits until every host is ready.
+    /// Starts a deployment; its hosts are ready somewhat later.
     ///
     /// # Panics
     /// When a host does not start.
-    pub async fn start(spec: FleetSpec) -> Self {
+    pub fn start(spec: FleetSpec) -> Self {
         let store = FleetStore::default();
         let store_server = store.start();
         let mut stack = Self {
@@ -141,7 +141,7 @@
         format!(
             "[host]\nname = \"{name}\"\nzone = \"east\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             readiness = \"{readiness}\"\n\
+             readiness = \"{readiness}\"\nmetrics = \"127.0.0.1:0\"\n\
              [platform]\nprotocol = \"store\"\naddress = \"{}\"\ntimeout = \"500ms\"\n\
              checks_tokens = true\n[security]\nshared_secret = \"{SECRET}\"\n[drain]\nnotice = \"200ms\"\ngrace = \"5s\"\n\
              [timing]\nheartbeat = \"200ms\"\npeer_timeout = \"1s\"\nlease_ttl = \"2s\"\n\
--- a/components/standins/src/stack.rs
+++ b/components/standins/src/stack.rs
@@ -53,6 +53,8 @@
     pub callers: SocketAddr,
     /// Address for other hosts and operators.
     pub peers: SocketAddr,
+    /// Address where metrics are served, if they are.
+    pub metrics: Option<SocketAddr>,
     end: Option<oneshot::Sender<HostEnd>>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -84,14 +86,18 @@
                 let host = EntryHost::start(&settings, adapters(&settings))
                     .await
                     .expect("free loopback ports");
-                let _ = ready.send((host.caller_address(), host.peer_address()));
+                let _ = ready.send((
+                    host.caller_address(),
+                    host.peer_address(),
+                    host.metrics_address(),
+                ));
                 if ended.await == Ok(HostEnd::Drain) {
                     host.drain().await;
                 }
             });
         });
-        let (callers, peers) = addresses.recv().expect("the entry host starts");
-        Self { name, callers, peers, end: Some(end), thread: Some(thread) }
+        let (callers, peers, metrics) = addresses.recv().expect("the entry host starts");
+        Self { name, callers, peers, metrics, end: Some(end), thread: Some(thread) }
     }
 
     fn finish(&mut self, end: HostEnd) {
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -7,6 +7,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use wagtailledge_standins::fleet::FleetEngine;
+use wagtailledge_standins::fleet::FleetService;
 use wagtailledge_standins::fleet::FleetSpec;
 use wagtailledge_standins::fleet::FleetStack;
 use wagtailledge_standins::fleet::ServiceMood;
@@ -71,7 +73,7 @@
 
 /// Starts a deployment whose hosts all serve.
 async fn ready_stack() -> FleetStack {
-    let stack = FleetStack::start(SPEC).await;
+    let stack = FleetStack::start(SPEC);
     let ready = stack
         .wait(PATIENCE, async |stack| {
             for host in 0..stack.hosts.len() {
@@ -157,7 +159,7 @@
         let runs: Vec<_> = stack
             .engines
             .iter()
-            .flat_map(|engine| engine.runs())
+            .flat_map(FleetEngine::runs)
             .filter(|run| run.request == "resumed")
             .collect();
         assert!(runs.len() >= 2, "it went on elsewhere: {runs:?}");
@@ -190,7 +192,7 @@
         let failed = send(address, "POST", "/act/1", "act-3", "Content-Length: 0\r\n").await;
         assert_eq!(failed.status, 500, "the upstream's own failure");
         assert!(failed.header("x-server-stamp").is_some());
-        let runs: Vec<String> = stack.services.iter().flat_map(|service| service.runs()).collect();
+        let runs: Vec<String> = stack.services.iter().flat_map(FleetService::runs).collect();
         let count = |id: &str| runs.iter().filter(|run| *run == id).count();
         assert_eq!((count("act-1"), count("act-2"), count("act-3")), (1, 0, 1));
     });
@@ -248,7 +250,7 @@
         assert!(matches!(answer.status, 0 | 400 | 431), "{answer:?}");
         let body = format!("{head}Content-Length: 1000000\r\n\r\n{}", "x".repeat(1_000));
         assert_eq!(exchange(address, body.as_bytes()).await.status, 413);
-        let runs: Vec<String> = stack.services.iter().flat_map(|service| service.runs()).collect();
+        let runs: Vec<String> = stack.services.iter().flat_map(FleetService::runs).collect();
         assert!(!runs.iter().any(|run| run == "bad" || run == "inner"), "{runs:?}");
         let after = send(address, "GET", "/read/1", "after", "").await;
         assert_eq!(after.status, 200, "the host goes on serving");
@@ -355,3 +357,25 @@
         stack.hosts[leader].join();
     });
 }
+
+#[test]
+fn can_read_metrics_as_text() {
+    run(async {
+        let stack = ready_stack().await;
+        assert_eq!(ask(&stack, 0, "m0", "counted").await.status, 200);
+        let address = stack.hosts[0].metrics.expect("its settings name an address");
+        let counted = stack
+            .wait(PATIENCE, async |_| {
+                let text = send(address, "GET", "/metrics", "m", "").await.body;
+                let value = |name: &str| {
+                    let line = text.lines().find_map(|line| line.strip_prefix(name));
+                    line.and_then(|value| value.trim().parse::<u64>().ok()).unwrap_or(0)
+                };
+                value("wagtailledge_decision_route ") > 0
+                    && value("wagtailledge_request_time_ms_count ") > 0
+                    && value("wagtailledge_configuration_revision ") == 1
+            })
+            .await;
+        assert!(counted, "no request is counted");
+    });
+}
