Tell from the hosts' logs what became of one request

Cause: on-call engineers have only logs; finding the cause of a failed request meant reading lines of several hosts by hand.

`explain ID` reads logs from files or standard input, puts the lines of one request in order and names how it ended.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -37,6 +37,13 @@
     },
     /// Work on the inventory.
     Inventory(InventoryCommand),
+    /// Tell the story of one request.
+    Explain {
+        /// Id of the request.
+        request: String,
+        /// Log files; standard input when there are none.
+        logs: Vec<PathBuf>,
+    },
     /// Show what is loaded where, who leads and what is in force.
     Status {
         /// Settings file.
@@ -124,7 +131,14 @@
         .to_options()
         .descr("Show what is loaded where, who leads, and the revision in force on each host")
         .command("status");
-    construct!([serve, check, inventory, status])
+    let request = positional("ID").help("Id of the request");
+    let logs = positional("LOG").help("Logs of the hosts; standard input without any").many();
+    let explain = construct!(Command::Explain { request, logs })
+        .to_options()
+        .descr("Tell from the hosts' logs what became of one request, and why")
+        .footer("Example: wagtailledge explain 9a873848108e184f east-*.log")
+        .command("explain");
+    construct!([serve, check, inventory, status, explain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Serves rarely used models in time, from an inventory kept in version control")
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,138 @@
+//! `explain`: tells the story of one request from the hosts' logs.
+
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+
+/// Keys of the log lines that tell of requests, in the order in which they are written.
+const KEYS: [&str; 18] = [
+    "kind",
+    "host",
+    "request",
+    "subject",
+    "choice",
+    "reason",
+    "alternatives",
+    "upstream",
+    "attempt",
+    "outcome",
+    "status",
+    "first_ms",
+    "parts",
+    "pause_ms",
+    "took_ms",
+    "expected",
+    "listing",
+    "zone",
+];
+
+/// One log line about the request.
+#[derive(Debug)]
+struct LogLine {
+    text: String,
+}
+
+impl LogLine {
+    /// The line, if it is about the request.
+    fn about(text: String, request: &str) -> Option<Self> {
+        let line = Self { text };
+        (line.field("request") == Some(request)).then_some(line)
+    }
+
+    /// A value; it ends where the next key begins.
+    fn field(&self, key: &str) -> Option<&str> {
+        let start = self.text.find(&format!(" {key}="))? + key.len() + 2;
+        let rest = &self.text[start..];
+        let ends = KEYS.iter().filter_map(|next| rest.find(&format!(" {next}=")));
+        Some(&rest[..ends.min().unwrap_or(rest.len())])
+    }
+
+    /// When it was written, as it stands in the line; sorts by time.
+    fn time(&self) -> &str {
+        let stamp = self.text.split_once('[').map_or("", |(_, rest)| rest);
+        stamp.split_once(' ').map_or(stamp, |(time, _)| time)
+    }
+
+    /// What the line says of the request's end, if it says anything.
+    fn verdict(&self) -> Option<String> {
+        let value = |key| self.field(key).unwrap_or("?");
+        match (self.field("kind"), self.field("outcome")) {
+            (Some("refuse"), _) if value("choice") == "NotRun" => {
+                Some(format!("refused, it has not run: {}", value("reason")))
+            }
+            (Some("refuse"), _) => Some(format!("failed, it may have run: {}", value("reason"))),
+            (Some("abandon"), _) => {
+                Some(format!("its caller left {}: it {}", value("choice"), value("reason")))
+            }
+            (_, Some("streamed" | "answered")) => Some(format!(
+                "answered by {} with status {}; first part after {} ms, longest pause {} ms, {} ms \
+                 in all",
+                value("upstream"),
+                value("status"),
+                value("first_ms"),
+                value("pause_ms"),
+                value("took_ms")
+            )),
+            _ => None,
+        }
+    }
+
+    /// One line of the story.
+    fn story(&self) -> String {
+        let value = |key| self.field(key).unwrap_or("?");
+        let what = match (self.field("kind"), self.field("outcome")) {
+            (Some("route"), _) => format!(
+                "sent to {} for {} ({}, {} others could)",
+                value("choice"),
+                value("subject"),
+                value("reason"),
+                value("alternatives")
+            ),
+            (None, Some(outcome)) => format!(
+                "attempt {} at {}: {outcome}, status {}, {} parts, {} ms",
+                value("attempt"),
+                value("upstream"),
+                value("status"),
+                value("parts"),
+                value("took_ms")
+            ),
+            (Some(kind), _) => format!("{kind}: {}, {}", value("choice"), value("reason")),
+            (None, None) => self.text.clone(),
+        };
+        format!("{} {}: {what}", self.time(), value("host"))
+    }
+}
+
+fn read(source: impl BufRead, request: &str, found: &mut Vec<LogLine>) -> Result<(), String> {
+    for line in source.lines() {
+        let line = line.map_err(|error| error.to_string())?;
+        found.extend(LogLine::about(line, request));
+    }
+    Ok(())
+}
+
+/// Prints what the logs tell of a request, in order, and how it ended.
+pub fn run(request: &str, logs: &[PathBuf]) -> Result<(), Vec<String>> {
+    let mut found = Vec::new();
+    if logs.is_empty() {
+        read(std::io::stdin().lock(), request, &mut found)
+            .map_err(|problem| vec![format!("standard input: {problem}")])?;
+    }
+    for path in logs {
+        let failed = |problem: String| vec![format!("{}: {problem}", path.display())];
+        let file = File::open(path).map_err(|error| failed(error.to_string()))?;
+        read(BufReader::new(file), request, &mut found).map_err(failed)?;
+    }
+    if found.is_empty() {
+        return Err(vec![format!("no log line names request {request}")]);
+    }
+    found.sort_by(|one, other| one.time().cmp(other.time()));
+    for line in &found {
+        println!("{}", line.story());
+    }
+    let ends = found.iter().rev().find_map(LogLine::verdict);
+    let unknown = "no line tells its end: its host died, or has not ended it yet".to_owned();
+    println!("=> {}", ends.unwrap_or(unknown));
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod check;
+mod explain;
 mod inventory;
 mod serve;
 mod status;
@@ -20,6 +21,7 @@
         Command::Serve { settings } => serve::run(&settings),
         Command::Check { settings, inventories } => check::run(settings.as_deref(), &inventories),
         Command::Inventory(command) => inventory::run(command),
+        Command::Explain { request, logs } => explain::run(&request, &logs),
         Command::Status { settings, json } => status::run(&settings, json),
     };
     match done {
