Give listings and refusals files of their own

What an engine lists is in placement/listings.rs, what a refused caller is told in host/refusals.rs.

--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -2,15 +2,12 @@
 
 use std::time::Duration;
 
-use wagtailledge_inventory::AssetKey;
-
 use crate::admission::RequestRecord;
 use crate::admission::RequestStage;
 use crate::effect::DecisionKind;
 use crate::effect::DecisionNote;
 use crate::effect::HostEffect;
 use crate::message::DemandRow;
-use crate::request::CallerRefusal;
 use crate::request::CallerRequest;
 use crate::request::RefusalOutcome;
 use crate::request::RefusalReason;
@@ -20,13 +17,10 @@
 use crate::request::RequestTicket;
 use crate::time::Moment;
 
+use super::refusals::reason_text;
 use super::state::HostReducer;
 use crate::admission::queue_key;
 
-/// Shortest time after which a refused caller is told to come back.
-const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
-/// The same for a caller whom another host can serve.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 /// How long an asset that was refused as too late is still wanted for callers who come back.
 const WANTED_TIME: Duration = Duration::from_secs(30);
 
@@ -140,36 +134,6 @@
         late.then_some(RefusalReason::TooLate)
     }
 
-    /// Shortest time in which a replica that nobody holds can be ready.
-    fn least_load(&self, asset: AssetKey) -> Duration {
-        let record = &self.catalog.assets[asset];
-        let model = match record.base {
-            Some(base) if !self.view.ready(base).is_empty() => return Duration::ZERO,
-            Some(base) => &self.catalog.assets[base],
-            None => record,
-        };
-        let known = [model.loads.memory.0, model.loads.disk.0, model.loads.store.0];
-        let shortest = known.into_iter().filter(|span| !span.is_zero()).min();
-        shortest.unwrap_or_else(|| match &self.placement {
-            Some(placement) => placement.expected_load(&self.catalog) / 2,
-            None => self.catalog.rules.expected_load.0 / 2,
-        })
-    }
-
-    /// When a caller that was refused should come back.
-    fn retry_after(&self, target: RequestTarget, reason: RefusalReason) -> Duration {
-        match (reason, target) {
-            // Any other host serves now.
-            (RefusalReason::HostEnds, _) => RETRY_ELSEWHERE,
-            (RefusalReason::TooLate | RefusalReason::NoCapacity, RequestTarget::Asset(asset))
-                if self.catalog.assets.contains_key(asset) =>
-            {
-                self.least_load(asset).max(RETRY_AFTER_MIN)
-            }
-            _ => RETRY_AFTER_MIN,
-        }
-    }
-
     /// Refuses the least important waiting request.
     fn shed(&mut self, effects: &mut Vec<HostEffect>) {
         if let Some(last) = self.queue.last() {
@@ -361,15 +325,6 @@
         rows
     }
 
-    fn refusal(
-        &self,
-        target: RequestTarget,
-        outcome: RefusalOutcome,
-        reason: RefusalReason,
-    ) -> CallerRefusal {
-        CallerRefusal { outcome, reason, retry_after: self.retry_after(target, reason) }
-    }
-
     fn target_name(&self, target: RequestTarget) -> String {
         match target {
             RequestTarget::Asset(asset) => self
@@ -394,19 +349,3 @@
         RequestStage::Streaming(_) => "was being answered",
     }
 }
-
-fn reason_text(reason: RefusalReason) -> &'static str {
-    match reason {
-        RefusalReason::DeadlinePassed => "deadline passed",
-        RefusalReason::TooLate => "no replica can be ready in time",
-        RefusalReason::QueueFull => "queue is full",
-        RefusalReason::CallerLimit => "too many requests of this caller",
-        RefusalReason::NoCapacity => "no engine has room",
-        RefusalReason::UpstreamFailed => "upstream failed",
-        RefusalReason::LedgerAway => "ledger could not be reached",
-        RefusalReason::KeyReused => "key was used for another request",
-        RefusalReason::EarlierCall => "an earlier call has the key",
-        RefusalReason::Removed => "not in the inventory",
-        RefusalReason::HostEnds => "host ends",
-    }
-}
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod names;
 mod neighbours;
+mod refusals;
 mod registry;
 mod scope;
 mod state;
--- a/components/decisions/src/placement/mod.rs
+++ b/components/decisions/src/placement/mod.rs
@@ -19,6 +19,7 @@
 mod demand;
 mod engine;
 mod growth;
+mod listings;
 mod orders;
 mod plan;
 mod reach;
