--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -119,6 +119,7 @@
     front: Rc<CallerServer>,
     peers: PeerServer,
     drain: Cell<DrainSection>,
+    readiness_address: Option<SocketAddr>,
     metrics_address: Option<SocketAddr>,
 }
 
@@ -191,14 +192,15 @@
         };
         let shell = EntryShell::new(parts, me, timing, rand::random());
         let gate = Rc::new(ShellGate { shell: Rc::clone(&shell) });
-        let front = Rc::new(start_front(settings, front, gate).await?);
+        let (front, readiness_address) = start_front(settings, front, gate).await?;
+        let front = Rc::new(front);
         spawn_loops(&shell, &front, inbox, sources);
         info!(
             host = shell.me.name.as_str(), zone = shell.me.zone.as_str();
             "callers on {}, peers on {}", front.address(), peers.address()
         );
         let drain = Cell::new(settings.drain);
-        Ok(Self { shell, front, peers, drain, metrics_address })
+        Ok(Self { shell, front, peers, drain, readiness_address, metrics_address })
     }
 
     /// Takes over what may change while a host runs: `[retries]` and `[drain]`.
@@ -218,6 +220,11 @@
         self.front.address()
     }
 
+    /// The address for readiness checks, where callers' port does not answer them.
+    pub fn readiness_address(&self) -> Option<SocketAddr> {
+        self.readiness_address
+    }
+
     /// The address where metrics are served as text.
     pub fn metrics_address(&self) -> Option<SocketAddr> {
         self.metrics_address
@@ -296,7 +303,7 @@
     settings: &HostSettings,
     front: HostFront,
     gate: Rc<dyn CallerGate>,
-) -> Result<CallerServer, StartError> {
+) -> Result<(CallerServer, Option<SocketAddr>), StartError> {
     let address = settings.listen.callers;
     let most = settings.limits.connections;
     let failed = |error| StartError::Listen(address, error);
@@ -308,13 +315,13 @@
                 request_timeout: settings.limits.request_timeout.0,
             };
             let server = FrontServer::start(address, limits, gate).await;
-            Ok(CallerServer::Completions(server.map_err(failed)?))
+            Ok((CallerServer::Completions(server.map_err(failed)?), None))
         }
         HostFront::Relay { dialect, readiness } => {
-            TextServer::start(readiness, readiness_source(Rc::clone(&gate)))
+            let checks = TextServer::start(readiness, readiness_source(Rc::clone(&gate)))
                 .map_err(|error| StartError::Listen(readiness, error))?;
             let server = RelayServer::start(address, most, gate, dialect);
-            Ok(CallerServer::Relay(server.map_err(failed)?))
+            Ok((CallerServer::Relay(server.map_err(failed)?), Some(checks.address())))
         }
     }
 }
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -41,7 +41,6 @@
     pub services: Vec<FleetService>,
     /// The entry hosts.
     pub hosts: Vec<HostThread>,
-    readiness: Vec<std::net::SocketAddr>,
     spec: FleetSpec,
     store_server: StandInServer,
     servers: Vec<StandInServer>,
@@ -60,7 +59,6 @@
             engines: Vec::new(),
             services: Vec::new(),
             hosts: Vec::new(),
-            readiness: Vec::new(),
             spec,
             store_server,
             servers: Vec::new(),
@@ -137,11 +135,11 @@
     }
 
     /// Settings of a host, as TOML.
-    pub fn settings_text(&self, name: &str, readiness: std::net::SocketAddr) -> String {
+    pub fn settings_text(&self, name: &str) -> String {
         format!(
             "[host]\nname = \"{name}\"\nzone = \"east\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             readiness = \"{readiness}\"\nmetrics = \"127.0.0.1:0\"\n\
+             readiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
              [platform]\nprotocol = \"store\"\naddress = \"{}\"\ntimeout = \"500ms\"\n\
              checks_tokens = true\n[security]\nshared_secret = \"{SECRET}\"\n[drain]\nnotice = \"200ms\"\ngrace = \"5s\"\n\
              [timing]\nheartbeat = \"200ms\"\npeer_timeout = \"1s\"\nlease_ttl = \"2s\"\n\
@@ -156,21 +154,19 @@
     /// # Panics
     /// When it does not start.
     pub fn add_host(&mut self, name: &str) {
-        // A port that was free a moment ago: readiness is not told by the host.
-        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
-        let readiness = free.local_addr().expect("a bound socket has an address");
-        drop(free);
-        let text = self.settings_text(name, readiness);
+        let text = self.settings_text(name);
         let settings = parse_settings("fleet stack", &text).expect("its settings are valid");
-        self.readiness.push(readiness);
         self.hosts.push(HostThread::start_with(settings, |settings| {
             wagtailledge_platform::adapters(settings).expect("the settings name a store")
         }));
     }
 
     /// Address where a host tells whether it is ready.
+    ///
+    /// # Panics
+    /// When there is no such host.
     pub fn readiness(&self, host: usize) -> std::net::SocketAddr {
-        self.readiness[host]
+        self.hosts[host].readiness.expect("its settings name an address")
     }
 
     /// Waits until a condition holds, for `patience` at most; returns whether it does.
--- a/components/standins/src/stack.rs
+++ b/components/standins/src/stack.rs
@@ -53,6 +53,8 @@
     pub callers: SocketAddr,
     /// Address for other hosts and operators.
     pub peers: SocketAddr,
+    /// Address for readiness checks, where callers' port does not answer them.
+    pub readiness: Option<SocketAddr>,
     /// Address where metrics are served, if they are.
     pub metrics: Option<SocketAddr>,
     end: Option<oneshot::Sender<HostEnd>>,
@@ -89,6 +91,7 @@
                 let _ = ready.send((
                     host.caller_address(),
                     host.peer_address(),
+                    host.readiness_address(),
                     host.metrics_address(),
                 ));
                 if ended.await == Ok(HostEnd::Drain) {
@@ -96,8 +99,8 @@
                 }
             });
         });
-        let (callers, peers, metrics) = addresses.recv().expect("the entry host starts");
-        Self { name, callers, peers, metrics, end: Some(end), thread: Some(thread) }
+        let (callers, peers, readiness, metrics) = addresses.recv().expect("the entry host starts");
+        Self { name, callers, peers, readiness, metrics, end: Some(end), thread: Some(thread) }
     }
 
     fn finish(&mut self, end: HostEnd) {
