Log how the body of an answer was framed and how it ended

The line now has framing, end and open_bytes; explain prints them, and the counter answer.truncated counts answers that an upstream began and did not complete. What is forwarded and when an attempt counts as complete is unchanged.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -84,6 +84,9 @@
             }
             let times = times.borrow();
             log_attempt(&shell.identity.name, &request_id, &upstream, number, &times, &outcome);
+            if times.is_truncated() {
+                shell.parts.metrics.count("answer.truncated");
+            }
             shell.submit(HostEvent::AttemptEnded(request, number, outcome));
         });
     }
@@ -152,6 +155,10 @@
                     drop(unforwarded);
                     futures::future::ready(true).boxed_local()
                 }
+                CallEvent::Ended(end) => {
+                    times.borrow_mut().body_end = Some(end);
+                    futures::future::ready(true).boxed_local()
+                }
                 CallEvent::Part(part, last) => {
                     times.borrow_mut().record_part();
                     let mut calls = shell.calls.borrow_mut();
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -11,6 +11,8 @@
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
 use wagtailledge_decisions::order::ResidentState;
+use wagtailledge_upstreams::BodyEnd;
+use wagtailledge_upstreams::EndCause;
 
 /// Log target of decision records.
 const DECISION_TARGET: &str = "decision";
@@ -115,6 +117,8 @@
     parts: u32,
     /// HTTP status of a streamed answer; 0 until its head has arrived.
     pub status: u16,
+    /// How the answer's body ended; `None` while it has not, or if the attempt was aborted.
+    pub body_end: Option<BodyEnd>,
 }
 
 impl AttemptTimes {
@@ -128,6 +132,7 @@
             longest_pause: Duration::ZERO,
             parts: 0,
             status: 0,
+            body_end: None,
         }
     }
 
@@ -141,6 +146,13 @@
         self.last_part = now;
         self.parts += 1;
     }
+
+    /// Whether the upstream began an answer and did not complete it.
+    pub fn is_truncated(&self) -> bool {
+        self.body_end.is_some_and(|end| {
+            end.open_bytes > 0 || matches!(end.cause, EndCause::Failed | EndCause::TimedOut)
+        })
+    }
 }
 
 /// Logs the outcome and the timing of an attempt at an upstream.
@@ -163,11 +175,15 @@
     let first_ms = times.first_part.map_or(0, |delay| delay.as_millis() as u64);
     let (pause_ms, took_ms) =
         (times.longest_pause.as_millis(), times.started.elapsed().as_millis());
+    let end = times.body_end;
+    let (framing, cause) = end.map_or(("", ""), |end| (end.framing.name(), end.cause.name()));
+    let open_bytes = end.map_or(0, |end| end.open_bytes);
     info!(
         target: "attempt",
         host = host, request = request_id, upstream = upstream, attempt = attempt,
         outcome = outcome, status = status, first_ms = first_ms, parts = times.parts,
-        pause_ms = pause_ms as u64, took_ms = took_ms as u64;
+        pause_ms = pause_ms as u64, took_ms = took_ms as u64,
+        framing = framing, end = cause, open_bytes = open_bytes;
         "{request_id} at {upstream}: {outcome}"
     );
 }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 17] = [
+pub const METRIC_NAMES: [&str; 18] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -25,6 +25,7 @@
     "request.time",
     "request.waiting",
     "request.open",
+    "answer.truncated",
     "order.not_sent",
     "store.failed",
     "peer.messages",
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -11,6 +11,8 @@
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamLoad;
 
+use crate::framing::BodyEnd;
+
 /// Request to an upstream, and how to send it.
 #[derive(Debug, Clone)]
 pub struct UpstreamCall {
@@ -66,6 +68,8 @@
     Started(AnswerHead),
     /// Part of a streamed answer, and the id of the last complete event so far, if known.
     Part(Bytes, Option<u64>),
+    /// The body was read to its end, or reading stopped.
+    Ended(BodyEnd),
 }
 
 /// Sends calls to upstreams and reads their load.
--- a/components/upstreams/src/events.rs
+++ b/components/upstreams/src/events.rs
@@ -39,6 +39,11 @@
         self.last_event
     }
 
+    /// Number of bytes after the last complete event.
+    pub fn open_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -28,6 +28,9 @@
 use crate::dialect::keep_alive_time;
 use crate::dialect::strip_hop_headers;
 use crate::events::EventSplitter;
+use crate::framing::BodyEnd;
+use crate::framing::BodyFraming;
+use crate::framing::EndCause;
 use crate::pool::ConnectionPool;
 use crate::pool::ExchangeFault;
 use crate::pool::OpenAnswer;
@@ -90,65 +93,90 @@
             HeadVerdict::Foreign => return AttemptOutcome::Broken,
         }
         let keep_alive = keep_alive_time(&answer.head);
+        let framing = BodyFraming::of(&answer.head);
         strip_hop_headers(&mut answer.head.headers);
-        if is_streamed(&call, &answer) {
+        let (cause, open_bytes, outcome) = if is_streamed(&call, &answer) {
             self.forward(answer, &call, keep_alive, on_event).await
         } else {
-            collect(answer, &call, keep_alive).await
-        }
+            let (cause, outcome) = collect(answer, &call, keep_alive).await;
+            (cause, 0, outcome)
+        };
+        on_event(CallEvent::Ended(BodyEnd { framing, cause, open_bytes })).await;
+        outcome
     }
 
-    /// Forwards an answer to `on_event` as its parts arrive.
+    /// Forwards an answer to `on_event` as its parts arrive. Returns how its body ended, the
+    /// number of bytes after its last complete event, and the outcome.
     async fn forward(
         &self,
         mut answer: OpenAnswer,
         call: &UpstreamCall,
         keep_alive: Option<Duration>,
         on_event: EventSink<'_>,
-    ) -> AttemptOutcome {
+    ) -> (EndCause, usize, AttemptOutcome) {
         let status = answer.head.status.as_u16();
+        let is_split = call.complete_events_only || is_event_stream(&answer.head);
         let started = AnswerHead { status, headers: std::mem::take(&mut answer.head.headers) };
         if !on_event(CallEvent::Started(started)).await {
-            return AttemptOutcome::Broken;
+            return (EndCause::Stopped, 0, AttemptOutcome::Broken);
         }
-        let mut splitter = call.complete_events_only.then(EventSplitter::default);
+        let mut splitter = is_split.then(EventSplitter::default);
         let mut tail = BytesMut::new();
-        loop {
-            let part = match timeout(call.max_wait, answer.body.frame()).await {
-                Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(part) => part,
-                    Err(_trailers) => continue,
-                },
-                Ok(None) => break,
-                Ok(Some(Err(error))) => {
-                    debug!(
-                        "stream for request {} from {} failed: {error}",
-                        call.request_id, call.upstream
-                    );
-                    return AttemptOutcome::Broken;
-                }
-                Err(_elapsed) => return AttemptOutcome::Broken,
+        let cause = loop {
+            let part = match next_part(&mut answer, call).await {
+                Ok(Some(part)) => part,
+                Ok(None) => break EndCause::Regular,
+                Err(cause) => break cause,
             };
             update_tail(&mut tail, &part);
             let (part, last_event) = match &mut splitter {
-                Some(splitter) => (splitter.push(&part), splitter.last_event()),
+                Some(splitter) => {
+                    let events = splitter.push(&part);
+                    let part = if call.complete_events_only { events } else { part };
+                    (part, splitter.last_event().filter(|_| call.complete_events_only))
+                }
                 None => (part, None),
             };
             if !part.is_empty() && !on_event(CallEvent::Part(part, last_event)).await {
-                return AttemptOutcome::Broken;
+                break EndCause::Stopped;
             }
+        };
+        let open_bytes = splitter.as_ref().map_or(0, EventSplitter::open_bytes);
+        if cause != EndCause::Regular || !self.dialect.is_complete(&tail) {
+            return (cause, open_bytes, AttemptOutcome::Broken);
         }
-        if !self.dialect.is_complete(&tail) {
-            return AttemptOutcome::Broken;
-        }
-        if let Some(mut splitter) = splitter {
+        if let Some(mut splitter) = splitter.filter(|_| call.complete_events_only) {
             let (rest, last_event) = (splitter.take_rest(), splitter.last_event());
             if !rest.is_empty() && !on_event(CallEvent::Part(rest, last_event)).await {
-                return AttemptOutcome::Broken;
+                return (EndCause::Stopped, open_bytes, AttemptOutcome::Broken);
             }
         }
         answer.connection.release(keep_alive);
-        AttemptOutcome::Streamed
+        (cause, open_bytes, AttemptOutcome::Streamed)
+    }
+}
+
+/// Next part of the body; `None` at its regular end.
+async fn next_part(
+    answer: &mut OpenAnswer,
+    call: &UpstreamCall,
+) -> Result<Option<Bytes>, EndCause> {
+    loop {
+        match timeout(call.max_wait, answer.body.frame()).await {
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(part) => return Ok(Some(part)),
+                Err(_trailers) => {}
+            },
+            Ok(None) => return Ok(None),
+            Ok(Some(Err(error))) => {
+                debug!(
+                    "answer to request {} from {} failed: {error}",
+                    call.request_id, call.upstream
+                );
+                return Err(EndCause::Failed);
+            }
+            Err(_elapsed) => return Err(EndCause::TimedOut),
+        }
     }
 }
 
@@ -159,11 +187,13 @@
     if !head.status.is_success() {
         return false;
     }
-    let content_type = head.headers.get(CONTENT_TYPE);
-    let events =
-        content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
     let length = answer.body.size_hint().exact();
-    events || length.is_none_or(|length| length > call.max_buffered_bytes as u64)
+    is_event_stream(head) || length.is_none_or(|length| length > call.max_buffered_bytes as u64)
+}
+
+fn is_event_stream(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
 /// Buffers the whole answer. The attempt is broken if the answer is incomplete or longer than
@@ -172,31 +202,20 @@
     mut answer: OpenAnswer,
     call: &UpstreamCall,
     keep_alive: Option<Duration>,
-) -> AttemptOutcome {
+) -> (EndCause, AttemptOutcome) {
     let mut body = BytesMut::new();
     loop {
-        match timeout(call.max_wait, answer.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                if let Ok(part) = frame.into_data() {
-                    if body.len() + part.len() > call.max_buffered_bytes {
-                        return AttemptOutcome::Broken;
-                    }
-                    body.extend_from_slice(&part);
-                }
+        match next_part(&mut answer, call).await {
+            Ok(Some(part)) if body.len() + part.len() > call.max_buffered_bytes => {
+                return (EndCause::Stopped, AttemptOutcome::Broken);
             }
+            Ok(Some(part)) => body.extend_from_slice(&part),
             Ok(None) => break,
-            Ok(Some(Err(error))) => {
-                debug!(
-                    "answer to request {} from {} failed: {error}",
-                    call.request_id, call.upstream
-                );
-                return AttemptOutcome::Broken;
-            }
-            Err(_elapsed) => return AttemptOutcome::Broken,
+            Err(cause) => return (cause, AttemptOutcome::Broken),
         }
     }
     answer.connection.release(keep_alive);
-    AttemptOutcome::Answered(recorded_answer(&answer.head, body.freeze()))
+    (EndCause::Regular, AttemptOutcome::Answered(recorded_answer(&answer.head, body.freeze())))
 }
 
 fn recorded_answer(head: &response::Parts, body: Bytes) -> RecordedAnswer {
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Keys of the log lines about requests, in the order in which they are written.
-const KEYS: [&str; 18] = [
+const KEYS: [&str; 21] = [
     "kind",
     "host",
     "request",
@@ -22,6 +22,9 @@
     "parts",
     "pause_ms",
     "took_ms",
+    "framing",
+    "end",
+    "open_bytes",
     "expected",
     "listing",
     "zone",
@@ -78,6 +81,17 @@
         }
     }
 
+    /// Describes how the body of the answer ended; empty if none was read.
+    fn body_end(&self) -> String {
+        let field = |key| self.field(key).filter(|value| !value.is_empty());
+        let (Some(framing), Some(end)) = (field("framing"), field("end")) else {
+            return String::new();
+        };
+        let open = field("open_bytes").filter(|bytes| *bytes != "0");
+        let open = open.map_or_else(String::new, |bytes| format!(", {bytes} bytes into an event"));
+        format!(" (body framed by {framing}, end {end}{open})")
+    }
+
     /// Describes the event of this line, with its time and host.
     fn event(&self) -> String {
         let value = |key| self.field(key).unwrap_or("?");
@@ -90,12 +104,13 @@
                 value("alternatives")
             ),
             (None, Some(outcome)) => format!(
-                "attempt {} at {}: {outcome}, status {}, {} parts, {} ms",
+                "attempt {} at {}: {outcome}, status {}, {} parts, {} ms{}",
                 value("attempt"),
                 value("upstream"),
                 value("status"),
                 value("parts"),
-                value("took_ms")
+                value("took_ms"),
+                self.body_end()
             ),
             (Some(kind), _) => format!("{kind}: {}, {}", value("choice"), value("reason")),
             (None, None) => self.text.clone(),
