Add failing tests for streams that end inside an event and look complete

A stream that stops inside an event, or before its first one, counts as complete when its body lasts until the connection closes; inside an event also when its last chunk or length says that it is complete.

--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -25,6 +26,22 @@
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How an engine ends a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StreamEnd {
+    /// The last chunk follows the last event.
+    #[default]
+    LastChunk,
+    /// The connection is closed in the middle of an event, without the last chunk.
+    MissingChunk,
+    /// The last chunk comes in the middle of an event.
+    LastChunkInsideEvent,
+    /// There are no chunks; the connection is closed after the last event.
+    Close,
+    /// There are no chunks; the connection is closed in the middle of an event.
+    CloseInsideEvent,
+}
+
 /// A request that the engine ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRecord {
@@ -49,7 +66,8 @@
     /// Highest number of resident and loading models so far.
     peak_models: usize,
     runs: Vec<RunRecord>,
-    streams_to_truncate: u32,
+    /// How the next streams end; later ones end with the last chunk.
+    stream_ends: VecDeque<StreamEnd>,
     order_answers_to_lose: u32,
 }
 
@@ -96,7 +114,17 @@
 
     /// Closes the connections of the next `count` streams in the middle of an event.
     pub fn truncate_next_streams(&self, count: u32) {
-        self.lock().streams_to_truncate = count;
+        self.end_next_streams(&vec![StreamEnd::MissingChunk; count as usize]);
+    }
+
+    /// Sets how the next streams end, one after the other.
+    pub fn end_next_streams(&self, ends: &[StreamEnd]) {
+        self.lock().stream_ends = ends.iter().copied().collect();
+    }
+
+    /// Number of streams whose end was set and that have not been requested yet.
+    pub fn pending_stream_ends(&self) -> usize {
+        self.lock().stream_ends.len()
     }
 
     /// Executes the next `count` orders without answering them.
@@ -137,17 +165,19 @@
         let id = request.request_id.clone().unwrap_or_default();
         let headers = request.headers.clone();
         state.runs.push(RunRecord { request_id: id.clone(), resumed_after: after, headers });
-        let truncate = state.streams_to_truncate > 0;
-        state.streams_to_truncate -= u32::from(truncate);
+        let end = state.stream_ends.pop_front().unwrap_or_default();
         let response_headers = vec![
             ("x-request-id", id.clone()),
             ("x-server-stamp", self.name.clone()),
             ("x-server-load", "1,0,64".to_owned()),
         ];
-        StandInAnswer::EventsWithHeaders(
-            response_headers,
-            event_stream(&id, after.unwrap_or(0), truncate),
-        )
+        let events = event_stream(&id, after.unwrap_or(0), end);
+        match end {
+            StreamEnd::Close | StreamEnd::CloseInsideEvent => {
+                StandInAnswer::EventsUntilClose(response_headers, events)
+            }
+            _ => StandInAnswer::EventsWithHeaders(response_headers, events),
+        }
     }
 }
 
@@ -209,13 +239,15 @@
     }
 }
 
-fn event_stream(id: &str, after: u64, truncate: bool) -> ChunkStream {
+fn event_stream(id: &str, after: u64, end: StreamEnd) -> ChunkStream {
     let mut chunks: Vec<Result<Bytes, std::io::Error>> = (after + 1..=EVENTS_PER_ANSWER)
         .map(|number| Ok(Bytes::from(format!("id: {number}\ndata: {id} {number}\n\n"))))
         .collect();
-    if truncate {
+    if !matches!(end, StreamEnd::LastChunk | StreamEnd::Close) {
         chunks.truncate(2);
         chunks.push(Ok(Bytes::from_static(b"id: 3\nda")));
+    }
+    if end == StreamEnd::MissingChunk {
         chunks.push(Err(std::io::Error::other("cut")));
     }
     futures::stream::iter(chunks)
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 pub use engine::FleetEngine;
 pub use engine::RunRecord;
+pub use engine::StreamEnd;
 pub use service::FleetService;
 pub use service::ServiceBehavior;
 pub use stack::FleetSpec;
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -10,6 +10,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
+use actix_http::ConnectionType;
 use actix_http::HttpMessage;
 use actix_http::HttpService;
 use actix_http::Request;
@@ -78,6 +79,8 @@
     Events(ChunkStream),
     /// Headers and a stream of server-sent events, with status 200.
     EventsWithHeaders(Vec<(&'static str, String)>, ChunkStream),
+    /// Like `EventsWithHeaders`, but without chunks: the body ends when its connection is closed.
+    EventsUntilClose(Vec<(&'static str, String)>, ChunkStream),
     /// The request is never answered; its connection stays open.
     Hang,
 }
@@ -87,7 +90,9 @@
         match self {
             Self::Json(status, value) => write!(f, "Json({status}, {value})"),
             Self::Reply(status, _, body) => write!(f, "Reply({status}, {} bytes)", body.len()),
-            Self::Events(_) | Self::EventsWithHeaders(..) => f.write_str("Events"),
+            Self::Events(_) | Self::EventsWithHeaders(..) | Self::EventsUntilClose(..) => {
+                f.write_str("Events")
+            }
             Self::Hang => f.write_str("Hang"),
         }
     }
@@ -206,6 +211,12 @@
         }
         StandInAnswer::Events(chunks) => event_response(Vec::new(), chunks),
         StandInAnswer::EventsWithHeaders(headers, chunks) => event_response(headers, chunks),
+        StandInAnswer::EventsUntilClose(headers, chunks) => {
+            let mut response = event_response(headers, chunks);
+            response.head_mut().no_chunking(true);
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            response
+        }
         StandInAnswer::Hang => futures::future::pending().await,
     }
 }
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -12,9 +12,12 @@
 use wagtailledge_standins::fleet::FleetSpec;
 use wagtailledge_standins::fleet::FleetStack;
 use wagtailledge_standins::fleet::ServiceBehavior;
+use wagtailledge_standins::fleet::StreamEnd;
 
 /// Upper bound for each wait; a passing test needs less.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Requests after which an engine is assumed to get none.
+const MAX_ASKS: usize = 100;
 const SPEC: FleetSpec =
     FleetSpec { hosts: 2, engines: 2, models: 4, load_time: Duration::from_millis(150) };
 
@@ -184,6 +187,93 @@
     });
 }
 
+/// Whether the framing of an answer says that its body is complete.
+fn is_framed_as_complete(answer: &RawAnswer) -> bool {
+    let length = answer.header("content-length").and_then(|text| text.parse::<usize>().ok());
+    match length {
+        Some(length) => answer.body.len() == length,
+        None => answer.body.ends_with("0\r\n\r\n"),
+    }
+}
+
+/// Configures the route `/tell/`, whose streams cannot be resumed, and waits until it is in force.
+async fn add_route_without_resume(stack: &FleetStack) {
+    let added = json!([{
+        "name": "tell", "host": "farm.example", "prefix": "/tell/", "routeKind": "streaming",
+        "timeoutMs": 5000, "targetLatencyMs": 500, "priority": 1, "service": "llm",
+        "attempts": 1, "resumable": false
+    }]);
+    stack.configure(5, added);
+    let in_force = stack
+        .wait_until(WAIT_LIMIT, async |stack| tell(stack, "tell-early").await.status == 200)
+        .await;
+    assert!(in_force, "the added route is not in force");
+}
+
+async fn tell(stack: &FleetStack, id: &str) -> RawAnswer {
+    let address = stack.hosts[0].caller_address;
+    send(address, "POST", "/tell/1", id, "X-Model: m0\r\nX-Token-Count: 100,20\r\n").await
+}
+
+#[test]
+fn can_keep_a_stream_cut_inside_an_event_from_looking_complete() {
+    run(async {
+        let stack = ready_stack().await;
+        add_route_without_resume(&stack).await;
+        let ends =
+            [StreamEnd::CloseInsideEvent, StreamEnd::LastChunkInsideEvent, StreamEnd::MissingChunk];
+        for end in ends {
+            for engine in &stack.engines {
+                engine.end_next_streams(&[end]);
+            }
+            let answer = tell(&stack, &format!("{end:?}")).await;
+            assert!(!is_framed_as_complete(&answer), "{end:?}: {}", answer.body);
+            for engine in &stack.engines {
+                engine.end_next_streams(&[]);
+            }
+        }
+        let whole = tell(&stack, "whole").await;
+        assert!(is_framed_as_complete(&whole), "{}", whole.body);
+    });
+}
+
+#[test]
+fn can_resume_a_stream_that_ended_inside_an_event() {
+    run(async {
+        let stack = ready_stack().await;
+        let ends = [StreamEnd::CloseInsideEvent, StreamEnd::LastChunkInsideEvent];
+        let faulty = &stack.engines[0];
+        faulty.end_next_streams(&ends);
+        let mut asked = 0;
+        while faulty.pending_stream_ends() > 0 {
+            assert!(asked < MAX_ASKS, "the engine got no request");
+            asked += 1;
+            let id = format!("whole-{asked}");
+            let answer = ask(&stack, 0, "m0", &id).await;
+            assert_eq!(answer.status, 200, "{}", answer.head);
+            for number in 1..=5 {
+                let event = format!("id: {number}\ndata: {id} {number}\n\n");
+                assert_eq!(answer.body.matches(&event).count(), 1, "{}", answer.body);
+            }
+            assert!(is_framed_as_complete(&answer), "{}", answer.body);
+        }
+    });
+}
+
+#[test]
+fn can_relay_a_stream_that_ends_with_its_connection() {
+    run(async {
+        let stack = ready_stack().await;
+        for engine in &stack.engines {
+            engine.end_next_streams(&[StreamEnd::Close]);
+        }
+        let answer = ask(&stack, 0, "m0", "unframed").await;
+        assert_eq!(answer.status, 200, "{}", answer.head);
+        assert!(answer.body.contains("id: 5\ndata: unframed 5\n\n"), "{}", answer.body);
+        assert!(is_framed_as_complete(&answer), "{}", answer.body);
+    });
+}
+
 #[test]
 fn can_run_non_idempotent_requests_at_most_once() {
     run(async {
