Count a stream as complete only if it ends at an event boundary

Cause: the end of the body was taken as proof that the answer was complete. An answer without a length and chunks ends with its connection, which a crashed engine closes as well; the client library reports both as the regular end of the body. The platform's dialect left the question to the framing, and on resumable routes the bytes of the cut event were even passed on. The host then sent the last chunk to the caller, and did not resume where it could have.

Change: streams are followed from one event boundary to the next, on every route. One that stops inside an event, whatever its framing, or that ends with its connection before its first event, is a broken attempt: it is resumed where the route allows that and otherwise visibly cut. The bytes of a cut event are no longer forwarded on resumable routes. Content types are compared without regard to case, and without one the route says whether events are expected.

--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -33,11 +33,13 @@
     pub abort: AbortHandle,
 }
 
-/// Which retries the call allows.
+/// Which retries the call allows, and what kind of answer it expects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RetryTerms {
     /// The call is idempotent: it may be sent again even if an earlier attempt may have run.
     pub repeatable: bool,
+    /// The route is for event streams.
+    pub streaming: bool,
     /// Another upstream may continue the stream, so only complete events are forwarded.
     pub resumable: bool,
 }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -125,6 +125,7 @@
             remaining,
             resume_after: live.last_event,
             repeatable: live.terms.repeatable,
+            expects_events: live.terms.streaming,
             complete_events_only: live.terms.resumable,
             reuse_within,
             max_wait,
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -112,6 +112,7 @@
         let ResolvedCall { target, repeat, deadline, terms } = resolved;
         let retry_terms = RetryTerms {
             repeatable: repeat == RequestRepeat::Idempotent,
+            streaming: terms.as_ref().is_some_and(|terms| terms.streaming),
             resumable: terms.as_ref().is_some_and(|terms| terms.resumable),
         };
         let caller = call.caller;
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -40,6 +40,8 @@
     pub resume_after: Option<u64>,
     /// Whether the request may be sent again after it may have run.
     pub repeatable: bool,
+    /// Whether an answer without a content type is an event stream.
+    pub expects_events: bool,
     /// Whether a stream is forwarded in complete events only.
     pub complete_events_only: bool,
     /// Only connections that have been idle for less than this time are reused.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -37,6 +37,8 @@
 
 /// Number of bytes at the end of a stream that are checked for the end marker.
 const TAIL_BYTES: usize = 64;
+/// Content type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Sends calls over pooled HTTP/1.1 connections, in the dialect of the upstreams.
 #[derive(Debug, Clone)]
@@ -92,35 +94,36 @@
             HeadVerdict::Misplaced => return AttemptOutcome::NotRun { misplaced: true },
             HeadVerdict::Foreign => return AttemptOutcome::Broken,
         }
-        let keep_alive = keep_alive_time(&answer.head);
         let framing = BodyFraming::of(&answer.head);
+        let keep_alive = keep_alive_time(&answer.head);
         strip_hop_headers(&mut answer.head.headers);
-        let (cause, open_bytes, outcome) = if is_streamed(&call, &answer) {
-            self.forward(answer, &call, keep_alive, on_event).await
+        let (end, outcome) = if is_streamed(&call, &answer) {
+            self.forward(answer, &call, framing, keep_alive, on_event).await
         } else {
             let (cause, outcome) = collect(answer, &call, keep_alive).await;
-            (cause, 0, outcome)
+            (BodyEnd { framing, cause, open_bytes: 0 }, outcome)
         };
-        on_event(CallEvent::Ended(BodyEnd { framing, cause, open_bytes })).await;
+        on_event(CallEvent::Ended(end)).await;
         outcome
     }
 
-    /// Forwards an answer to `on_event` as its parts arrive. Returns how its body ended, the
-    /// number of bytes after its last complete event, and the outcome.
+    /// Forwards an answer to `on_event` as its parts arrive.
     async fn forward(
         &self,
         mut answer: OpenAnswer,
         call: &UpstreamCall,
+        framing: BodyFraming,
         keep_alive: Option<Duration>,
         on_event: EventSink<'_>,
-    ) -> (EndCause, usize, AttemptOutcome) {
+    ) -> (BodyEnd, AttemptOutcome) {
         let status = answer.head.status.as_u16();
-        let is_split = call.complete_events_only || is_event_stream(&answer.head);
+        let mut splitter = is_event_stream(call, &answer.head)
+            .then(|| EventSplitter::new(call.complete_events_only));
         let started = AnswerHead { status, headers: std::mem::take(&mut answer.head.headers) };
         if !on_event(CallEvent::Started(started)).await {
-            return (EndCause::Stopped, 0, AttemptOutcome::Broken);
+            let cause = EndCause::Stopped;
+            return (BodyEnd { framing, cause, open_bytes: 0 }, AttemptOutcome::Broken);
         }
-        let mut splitter = is_split.then(EventSplitter::default);
         let mut tail = BytesMut::new();
         let cause = loop {
             let part = match next_part(&mut answer, call).await {
@@ -130,11 +133,7 @@
             };
             update_tail(&mut tail, &part);
             let (part, last_event) = match &mut splitter {
-                Some(splitter) => {
-                    let events = splitter.push(&part);
-                    let part = if call.complete_events_only { events } else { part };
-                    (part, splitter.last_event().filter(|_| call.complete_events_only))
-                }
+                Some(splitter) => (splitter.push(part), splitter.last_event()),
                 None => (part, None),
             };
             if !part.is_empty() && !on_event(CallEvent::Part(part, last_event)).await {
@@ -142,20 +141,23 @@
             }
         };
         let open_bytes = splitter.as_ref().map_or(0, EventSplitter::open_bytes);
-        if cause != EndCause::Regular || !self.dialect.is_complete(&tail) {
-            return (cause, open_bytes, AttemptOutcome::Broken);
-        }
-        if let Some(mut splitter) = splitter.filter(|_| call.complete_events_only) {
-            let (rest, last_event) = (splitter.take_rest(), splitter.last_event());
-            if !rest.is_empty() && !on_event(CallEvent::Part(rest, last_event)).await {
-                return (EndCause::Stopped, open_bytes, AttemptOutcome::Broken);
-            }
+        let end = BodyEnd { framing, cause, open_bytes };
+        let events_complete = splitter.is_none_or(|splitter| ends_complete(&splitter, framing));
+        if cause != EndCause::Regular || !events_complete || !self.dialect.is_complete(&tail) {
+            return (end, AttemptOutcome::Broken);
         }
         answer.connection.release(keep_alive);
-        (cause, open_bytes, AttemptOutcome::Streamed)
+        (end, AttemptOutcome::Streamed)
     }
 }
 
+/// Whether a stream whose body has ended was not truncated, as far as its events show. The end of
+/// the connection alone proves nothing, because a crashed upstream closes it as well.
+fn ends_complete(splitter: &EventSplitter, framing: BodyFraming) -> bool {
+    let has_end = framing != BodyFraming::UntilClose || splitter.has_event();
+    splitter.open_bytes() == 0 && has_end
+}
+
 /// Next part of the body; `None` at its regular end.
 async fn next_part(
     answer: &mut OpenAnswer,
@@ -188,12 +190,17 @@
         return false;
     }
     let length = answer.body.size_hint().exact();
-    is_event_stream(head) || length.is_none_or(|length| length > call.max_buffered_bytes as u64)
+    is_event_stream(call, head)
+        || length.is_none_or(|length| length > call.max_buffered_bytes as u64)
 }
 
-fn is_event_stream(head: &response::Parts) -> bool {
-    let content_type = head.headers.get(CONTENT_TYPE);
-    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+/// Whether the body consists of server-sent events; without a content type, the call decides.
+fn is_event_stream(call: &UpstreamCall, head: &response::Parts) -> bool {
+    let Some(content_type) = head.headers.get(CONTENT_TYPE) else {
+        return call.expects_events;
+    };
+    let prefix = content_type.as_bytes().get(..EVENT_STREAM.len());
+    prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(EVENT_STREAM))
 }
 
 /// Buffers the whole answer. The attempt is broken if the answer is incomplete or longer than
