Continue a stream at another engine only after an event with a number

What callers would see: on a resumable route, events of two runs joined, the first ones twice (ORDER).

Cause: the position in a stream was assumed instead of read. A stream whose forwarded events had no ids was sent again from its start, behind what the caller already had. Nor was it checked that a resumed stream goes on after the last event.

Change: the splitter reads the id of every event. If bytes were forwarded that do not end with a numbered event, the attempt ends as Truncated, which the reducer never continues. A resumed stream that sends the last event or an earlier one again ends the attempt before it is forwarded.

--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -120,8 +120,12 @@
     },
     /// No connection could be opened: the request did not run, and the upstream may be down.
     Unreached,
-    /// The attempt failed, and the request may have run.
+    /// The attempt failed, and the request may have run. Another attempt may serve the request, or
+    /// continue its stream after the last event.
     Broken,
+    /// The attempt failed after a part of the answer was forwarded, and no other attempt can
+    /// continue from there.
+    Truncated,
 }
 
 /// Input event of the reducer.
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -122,7 +122,8 @@
                 }
                 self.handle_not_run(now, key, upstream, false, effects);
             }
-            AttemptOutcome::Broken => self.handle_broken(now, key, upstream, effects),
+            AttemptOutcome::Broken => self.handle_broken(now, key, upstream, true, effects),
+            AttemptOutcome::Truncated => self.handle_broken(now, key, upstream, false, effects),
         }
         self.dispatch_all_waiting(now, effects);
     }
@@ -200,11 +201,13 @@
     }
 
     /// Handles a failed attempt whose request may have run: retries if allowed, else refuses.
+    /// `continuable` says whether another attempt can continue after what was forwarded.
     fn handle_broken(
         &mut self,
         now: Moment,
         key: RequestKey,
         upstream: UpstreamKey,
+        continuable: bool,
         effects: &mut Vec<HostEffect>,
     ) {
         let settled = self.requests[key].settled;
@@ -218,7 +221,8 @@
         request.runs += 1;
         let streaming = matches!(request.stage, RequestStage::Streaming(_));
         let resumable = request.terms.as_ref().is_some_and(|terms| terms.resumable);
-        let may_retry = request.may_run_again() && (!streaming || resumable) && !settled;
+        let may_continue = !streaming || (resumable && continuable);
+        let may_retry = request.may_run_again() && may_continue && !settled;
         request.tried.push(upstream);
         let keyed = matches!(request.repeat, RequestRepeat::Keyed(_));
         let service = self.service_of(self.requests[key].target);
--- a/components/decisions/tests/retries.rs
+++ b/components/decisions/tests/retries.rs
@@ -8,9 +8,13 @@
 use wagtailledge_decisions::HostEffect;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::request::RecordedAnswer;
+use wagtailledge_decisions::request::RefusalOutcome;
+use wagtailledge_decisions::request::RefusalReason;
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTarget;
+use wagtailledge_decisions::request::RouteTerms;
 use wagtailledge_decisions::retry::RetryRules;
 
 const INVENTORY: &str = r#"
@@ -98,3 +102,40 @@
     assert_eq!(answers(&host), [(ticket, 500, "first".to_owned())]);
     assert_eq!(host.dispatched_tickets(), [ticket]);
 }
+
+/// Submits a request for a stream whose route allows to resume it, and begins its answer.
+fn begin_stream(host: &mut TestHost) -> u64 {
+    let terms = RouteTerms {
+        rank: 1,
+        attempts: 2,
+        objective: Duration::from_millis(500),
+        streaming: true,
+        resumable: true,
+        sticky: false,
+        prompt: PromptShape::default(),
+    };
+    let service = host.reducer.catalog().services.keys().next().unwrap();
+    let target = RequestTarget::Service(service);
+    let ticket = host.submit_with_terms(target, RequestRepeat::Idempotent, 1, 5_000, Some(terms));
+    host.begin_answer(0);
+    ticket
+}
+
+#[test]
+fn can_continue_a_broken_stream_at_another_upstream() {
+    let mut host = host_with_budget(2.0);
+    let ticket = begin_stream(&mut host);
+    host.end_attempt(0, AttemptOutcome::Broken);
+    assert_eq!(host.dispatched_tickets(), [ticket, ticket]);
+    assert_eq!(host.refusals(), []);
+}
+
+#[test]
+fn can_cut_off_a_stream_that_no_upstream_can_continue() {
+    let mut host = host_with_budget(2.0);
+    let ticket = begin_stream(&mut host);
+    host.end_attempt(0, AttemptOutcome::Truncated);
+    assert_eq!(host.dispatched_tickets(), [ticket], "sent again, though part of it was forwarded");
+    let refusal = (ticket, RefusalOutcome::Unknown, RefusalReason::UpstreamFailed);
+    assert_eq!(host.refusals(), [refusal]);
+}
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -34,6 +34,7 @@
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTarget;
 use wagtailledge_decisions::request::RequestTicket;
+use wagtailledge_decisions::request::RouteTerms;
 use wagtailledge_inventory::parse::parse_inventory;
 
 /// Inventory with one engine with two slots, two models in one class, and one in a lower class.
@@ -186,11 +187,23 @@
         repeat: RequestRepeat,
         caller: u64,
         deadline_ms: u64,
+    ) -> u64 {
+        self.submit_with_terms(target, repeat, caller, deadline_ms, None)
+    }
+
+    /// Submits a request of a route with `terms`; returns its ticket.
+    pub fn submit_with_terms(
+        &mut self,
+        target: RequestTarget,
+        repeat: RequestRepeat,
+        caller: u64,
+        deadline_ms: u64,
+        terms: Option<RouteTerms>,
     ) -> u64 {
         self.last_ticket += 1;
         let ticket = RequestTicket(self.last_ticket);
         let deadline = Some(Duration::from_millis(deadline_ms));
-        let request = CallerRequest { ticket, target, repeat, deadline, caller, terms: None };
+        let request = CallerRequest { ticket, target, repeat, deadline, caller, terms };
         self.submit(HostEvent::RequestArrived(request));
         self.last_ticket
     }
@@ -222,6 +235,12 @@
         self.effects.iter().filter_map(refusal).collect()
     }
 
+    /// Begins the answer to the dispatch with this index.
+    pub fn begin_answer(&mut self, index: usize) {
+        let (request, attempt, _) = self.dispatches()[index];
+        self.submit(HostEvent::AttemptStarted(request, attempt));
+    }
+
     /// Ends the attempt of the dispatch with this index.
     pub fn end_attempt(&mut self, index: usize, outcome: AttemptOutcome) {
         let (request, attempt, _) = self.dispatches()[index];
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -170,7 +170,7 @@
         AttemptOutcome::NotRun { misplaced: true } => ("not held there", 0),
         AttemptOutcome::NotRun { misplaced: false } => ("not run", 0),
         AttemptOutcome::Unreached => ("no connection", 0),
-        AttemptOutcome::Broken => ("broken", times.status),
+        AttemptOutcome::Broken | AttemptOutcome::Truncated => ("broken", times.status),
     };
     let first_ms = times.first_part.map_or(0, |delay| delay.as_millis() as u64);
     let (pause_ms, took_ms) =
--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -42,6 +42,18 @@
     CloseInsideEvent,
 }
 
+/// How an engine numbers the events of its streams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum EventNumbering {
+    /// Ids count from 1, and a resumed stream continues after the last one.
+    #[default]
+    Continued,
+    /// Events have no ids, and every stream starts with the first event.
+    Missing,
+    /// Ids count from 1, and every stream starts with the first event.
+    StartedOver,
+}
+
 /// A request that the engine ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRecord {
@@ -69,6 +81,7 @@
     /// How the next streams end; later ones end with the last chunk.
     stream_ends: VecDeque<StreamEnd>,
     order_answers_to_lose: u32,
+    numbering: EventNumbering,
 }
 
 /// A model engine that can simulate faults.
@@ -127,6 +140,11 @@
         self.lock().stream_ends.len()
     }
 
+    /// Changes how events of later streams are numbered.
+    pub fn set_numbering(&self, numbering: EventNumbering) {
+        self.lock().numbering = numbering;
+    }
+
     /// Executes the next `count` orders without answering them.
     pub fn lose_next_order_answers(&self, count: u32) {
         self.lock().order_answers_to_lose = count;
@@ -171,7 +189,7 @@
             ("x-server-stamp", self.name.clone()),
             ("x-server-load", "1,0,64".to_owned()),
         ];
-        let events = event_stream(&id, after.unwrap_or(0), end);
+        let events = event_stream(&id, after.unwrap_or(0), end, state.numbering);
         match end {
             StreamEnd::Close | StreamEnd::CloseInsideEvent => {
                 StandInAnswer::EventsUntilClose(response_headers, events)
@@ -239,10 +257,17 @@
     }
 }
 
-fn event_stream(id: &str, after: u64, end: StreamEnd) -> ChunkStream {
-    let mut chunks: Vec<Result<Bytes, std::io::Error>> = (after + 1..=EVENTS_PER_ANSWER)
-        .map(|number| Ok(Bytes::from(format!("id: {number}\ndata: {id} {number}\n\n"))))
-        .collect();
+fn event_stream(id: &str, after: u64, end: StreamEnd, numbering: EventNumbering) -> ChunkStream {
+    let after = if numbering == EventNumbering::Continued { after } else { 0 };
+    let event = |number: u64| {
+        let data = format!("data: {id} {number}\n\n");
+        match numbering {
+            EventNumbering::Missing => data,
+            _ => format!("id: {number}\n{data}"),
+        }
+    };
+    let mut chunks: Vec<Result<Bytes, std::io::Error>> =
+        (after + 1..=EVENTS_PER_ANSWER).map(|number| Ok(Bytes::from(event(number)))).collect();
     if !matches!(end, StreamEnd::LastChunk | StreamEnd::Close) {
         chunks.truncate(2);
         chunks.push(Ok(Bytes::from_static(b"id: 3\nda")));
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod stack;
 mod store;
 
+pub use engine::EventNumbering;
 pub use engine::FleetEngine;
 pub use engine::RunRecord;
 pub use engine::StreamEnd;
--- a/components/upstreams/src/events.rs
+++ b/components/upstreams/src/events.rs
@@ -5,6 +5,10 @@
 
 /// Maximum size of an incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Start of a line with the id of an event.
+const ID_FIELD: &[u8] = b"id:";
+/// Maximum length of a line with a numeric id, in bytes.
+const MAX_ID_LINE: usize = 32;
 
 /// Position in the lines of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -21,11 +25,19 @@
     EmptyLineReturn,
 }
 
-/// Finds event boundaries, which are empty lines. Lines may end with a line feed, a carriage return
-/// or both.
+/// Finds event boundaries, which are empty lines, and the ids of events. Lines may end with a line
+/// feed, a carriage return or both.
 #[derive(Debug, Default)]
 struct BoundaryScanner {
     position: LinePosition,
+    /// First bytes of the current line, one more than [`MAX_ID_LINE`] at most.
+    line_head: Vec<u8>,
+    /// Id of the current event; `None` before its `id:` line, or if that has no number.
+    event_id: Option<u64>,
+    /// Id of the last complete event; `None` before the first, or if that has no numeric id.
+    last_event: Option<u64>,
+    /// Lowest id of the complete events.
+    lowest_id: Option<u64>,
     /// Whether a line other than a comment has begun since the last boundary.
     has_field: bool,
     /// Whether an event has been completed.
@@ -67,14 +79,38 @@
             _ => (Inside, None),
         };
         if boundary.is_some() {
-            self.has_event |= self.has_field;
-            self.has_field = false;
+            self.end_event();
+        }
+        if position == Inside {
+            if self.position != Inside {
+                self.line_head.clear();
+                self.has_field |= byte != b':';
+            }
+            if self.line_head.len() <= MAX_ID_LINE {
+                self.line_head.push(byte);
+            }
+        } else if self.position == Inside {
+            self.end_line();
         }
-        let begins_line = position == Inside && self.position != Inside;
-        self.has_field |= begins_line && byte != b':';
         self.position = position;
         boundary
     }
+
+    fn end_line(&mut self) {
+        if let Some(id) = self.line_head.strip_prefix(ID_FIELD) {
+            let id = std::str::from_utf8(id).ok().map(str::trim);
+            self.event_id = id.and_then(|id| id.parse().ok());
+        }
+    }
+
+    fn end_event(&mut self) {
+        let id = self.event_id.take();
+        if std::mem::take(&mut self.has_field) {
+            self.has_event = true;
+            self.last_event = id;
+            self.lowest_id = self.lowest_id.into_iter().chain(id).min();
+        }
+    }
 }
 
 /// Follows a stream and, if asked to, holds back the bytes of incomplete events.
@@ -84,7 +120,6 @@
     holds_back: bool,
     /// Bytes held back.
     pending: BytesMut,
-    last_event: Option<u64>,
 }
 
 impl EventSplitter {
@@ -107,17 +142,17 @@
             let overlong = self.pending.len() > MAX_EVENT_BYTES;
             return if overlong { self.pending.split().freeze() } else { Bytes::new() };
         };
-        let events = self.pending.split_to(held + boundary).freeze();
-        if let Some(id) = last_id(&events) {
-            self.last_event = std::str::from_utf8(id).ok().and_then(|id| id.trim().parse().ok());
-        }
-        events
+        self.pending.split_to(held + boundary).freeze()
     }
 
-    /// Latest id among the complete events so far; `None` before the first, if it is not a number,
-    /// and if no bytes are held back.
+    /// Id of the last complete event; `None` before the first, or if that has no numeric id.
     pub fn last_event(&self) -> Option<u64> {
-        self.last_event
+        self.scanner.last_event
+    }
+
+    /// Lowest id of the complete events; `None` if none has a numeric id.
+    pub fn lowest_id(&self) -> Option<u64> {
+        self.scanner.lowest_id
     }
 
     /// Whether an event has been completed.
@@ -130,9 +165,3 @@
         self.scanner.open_bytes
     }
 }
-
-/// Value of the last `id:` line.
-fn last_id(events: &[u8]) -> Option<&[u8]> {
-    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
-    lines.find_map(|line| line.strip_prefix(b"id:"))
-}
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -125,6 +125,7 @@
             return (BodyEnd { framing, cause, open_bytes: 0 }, AttemptOutcome::Broken);
         }
         let mut tail = BytesMut::new();
+        let mut forwarded = false;
         let cause = loop {
             let part = match next_part(&mut answer, call).await {
                 Ok(Some(part)) => part,
@@ -136,21 +137,38 @@
                 Some(splitter) => (splitter.push(part), splitter.last_event()),
                 None => (part, None),
             };
+            if splitter.as_ref().is_some_and(|splitter| starts_over(call, splitter)) {
+                break EndCause::Failed;
+            }
+            forwarded |= !part.is_empty();
             if !part.is_empty() && !on_event(CallEvent::Part(part, last_event)).await {
                 break EndCause::Stopped;
             }
         };
         let open_bytes = splitter.as_ref().map_or(0, EventSplitter::open_bytes);
         let end = BodyEnd { framing, cause, open_bytes };
-        let events_complete = splitter.is_none_or(|splitter| ends_complete(&splitter, framing));
+        let events_complete =
+            splitter.as_ref().is_none_or(|splitter| ends_complete(splitter, framing));
         if cause != EndCause::Regular || !events_complete || !self.dialect.is_complete(&tail) {
-            return (end, AttemptOutcome::Broken);
+            let last_event = splitter.and_then(|splitter| splitter.last_event());
+            let continuable = call.complete_events_only && last_event.is_some();
+            let outcome = if forwarded && !continuable {
+                AttemptOutcome::Truncated
+            } else {
+                AttemptOutcome::Broken
+            };
+            return (end, outcome);
         }
         answer.connection.release(keep_alive);
         (end, AttemptOutcome::Streamed)
     }
 }
 
+/// Whether a stream that was to continue after an event sends that event or an earlier one.
+fn starts_over(call: &UpstreamCall, splitter: &EventSplitter) -> bool {
+    call.resume_after.is_some_and(|last| splitter.lowest_id().is_some_and(|id| id <= last))
+}
+
 /// Whether a stream whose body has ended was not truncated, as far as its events show. The end of
 /// the connection alone proves nothing, because a crashed upstream closes it as well.
 fn ends_complete(splitter: &EventSplitter, framing: BodyFraming) -> bool {
--- a/components/upstreams/src/framing.rs
+++ b/components/upstreams/src/framing.rs
@@ -43,7 +43,7 @@
 pub enum EndCause {
     /// The framing marked the end, or the upstream closed the connection of a body without any.
     Regular,
-    /// The connection failed or the framing was violated.
+    /// The connection failed, the framing was violated, or a resumed stream started over.
     Failed,
     /// No part arrived in time.
     TimedOut,
--- a/components/upstreams/tests/events.rs
+++ b/components/upstreams/tests/events.rs
@@ -61,11 +61,8 @@
     }
 
     fn can_forward_every_byte_if_nothing_is_held_back(stream: PartedStream) -> bool {
-        let (_, held, _, has_event) = split(parts(&stream), true);
-        let (forwarded, open, last_event, found) = split(parts(&stream), false);
-        forwarded == stream.text.as_bytes()
-            && (open, found) == (held, has_event)
-            && last_event.is_none()
+        let (_, open, last_event, has_event) = split(parts(&stream), true);
+        split(parts(&stream), false) == (stream.text.into_bytes(), open, last_event, has_event)
     }
 }
 
@@ -86,6 +83,28 @@
     }
 }
 
+#[test]
+fn can_tell_whether_the_last_event_has_a_numeric_id() {
+    let long_id = format!("id: {}\n\n", "9".repeat(40));
+    for (text, last_event, lowest_id) in [
+        ("id: 4\ndata: a\n\nid:5\n\n", Some(5), Some(4)),
+        ("id: 4\n\ndata: no id\n\n", None, Some(4)),
+        ("id: 4\n\nid: four\n\n", None, Some(4)),
+        ("id: 4\n\n: comment\n\n", Some(4), Some(4)),
+        ("id: 4\n\nid: 5\n", Some(4), Some(4)),
+        ("data: id: 4\n\n", None, None),
+        (&long_id, None, None),
+    ] {
+        let mut splitter = EventSplitter::new(true);
+        splitter.push(Bytes::copy_from_slice(text.as_bytes()));
+        assert_eq!(
+            (splitter.last_event(), splitter.lowest_id()),
+            (last_event, lowest_id),
+            "{text}"
+        );
+    }
+}
+
 #[test]
 fn can_ignore_comments_and_empty_lines_as_events() {
     let text = Bytes::from_static(b"\n: ping\n\n\n");
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -7,6 +7,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use wagtailledge_standins::fleet::EventNumbering;
 use wagtailledge_standins::fleet::FleetEngine;
 use wagtailledge_standins::fleet::FleetService;
 use wagtailledge_standins::fleet::FleetSpec;
@@ -260,6 +261,30 @@
     });
 }
 
+#[test]
+fn can_keep_the_events_of_two_runs_apart() {
+    run(async {
+        let stack = ready_stack().await;
+        for numbering in [EventNumbering::Missing, EventNumbering::StartedOver] {
+            for engine in &stack.engines {
+                engine.set_numbering(numbering);
+                engine.truncate_next_streams(1);
+            }
+            for asked in 0..4 {
+                let id = format!("{numbering:?}-{asked}");
+                let answer = ask(&stack, 0, "m0", &id).await;
+                for number in 1..=5 {
+                    let event = format!("data: {id} {number}\n\n");
+                    let count = answer.body.matches(&event).count();
+                    assert!(count <= 1, "{count} times event {number}: {}", answer.body);
+                }
+                let is_whole = answer.body.contains(&format!("data: {id} 5\n\n"));
+                assert_eq!(is_framed_as_complete(&answer), is_whole, "{}", answer.body);
+            }
+        }
+    });
+}
+
 #[test]
 fn can_relay_a_stream_that_ends_with_its_connection() {
     run(async {
