Look for the end event only in event streams

What callers saw: on the product's own interface every answer of a plain service in chunks, or above the size that is buffered, ended with the text of an error event, though it was complete.

Cause: completeness was decided in one place for all bodies that are forwarded, by the mark that ends a stream of completions. An answer of a plain service has no such mark.

Change: the dialect is asked for event streams only; for other bodies the framing decides. can_pass_on_a_chunked_answer_of_a_plain_service failed before and passes now.

--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -77,6 +77,8 @@
     Reply(u16, Vec<(&'static str, String)>, Bytes),
     /// Status 200 with a stream of server-sent events.
     Events(ChunkStream),
+    /// Status 200 with a plain text in chunks.
+    Text(ChunkStream),
     /// Headers and a stream of server-sent events, with status 200.
     EventsWithHeaders(Vec<(&'static str, String)>, ChunkStream),
     /// Like `EventsWithHeaders`, but without chunks: the body ends when its connection is closed.
@@ -90,6 +92,7 @@
         match self {
             Self::Json(status, value) => write!(f, "Json({status}, {value})"),
             Self::Reply(status, _, body) => write!(f, "Reply({status}, {} bytes)", body.len()),
+            Self::Text(_) => f.write_str("Text"),
             Self::Events(_) | Self::EventsWithHeaders(..) | Self::EventsUntilClose(..) => {
                 f.write_str("Events")
             }
@@ -209,6 +212,7 @@
             }
             builder.body(body).map_into_boxed_body()
         }
+        StandInAnswer::Text(chunks) => stream_response("text/plain", Vec::new(), chunks),
         StandInAnswer::Events(chunks) => event_response(Vec::new(), chunks),
         StandInAnswer::EventsWithHeaders(headers, chunks) => event_response(headers, chunks),
         StandInAnswer::EventsUntilClose(headers, chunks) => {
@@ -229,8 +233,16 @@
 }
 
 fn event_response(headers: Vec<(&'static str, String)>, chunks: ChunkStream) -> Response<BoxBody> {
+    stream_response("text/event-stream", headers, chunks)
+}
+
+fn stream_response(
+    content_type: &str,
+    headers: Vec<(&'static str, String)>,
+    chunks: ChunkStream,
+) -> Response<BoxBody> {
     let mut builder = Response::build(StatusCode::OK);
-    builder.insert_header((CONTENT_TYPE, "text/event-stream"));
+    builder.insert_header((CONTENT_TYPE, content_type));
     for header in headers {
         builder.insert_header(header);
     }
--- a/components/upstreams/src/dialect.rs
+++ b/components/upstreams/src/dialect.rs
@@ -60,7 +60,7 @@
     /// Checks the head of the answer to `call`.
     fn read_head(&self, call: &UpstreamCall, head: &response::Parts) -> HeadCheck;
 
-    /// Whether a stream that ended with the bytes `tail` is complete.
+    /// Whether an event stream is complete that ended at an event boundary with the bytes `tail`.
     fn is_complete(&self, tail: &[u8]) -> bool;
 
     /// Requests an upstream's load. `None` if the dialect has no such request or it failed.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -147,9 +147,11 @@
         };
         let open_bytes = splitter.as_ref().map_or(0, EventSplitter::open_bytes);
         let end = BodyEnd { framing, cause, open_bytes };
-        let events_complete =
-            splitter.as_ref().is_none_or(|splitter| ends_complete(splitter, framing));
-        if cause != EndCause::Regular || !events_complete || !self.dialect.is_complete(&tail) {
+        // Only the framing tells whether other bodies are complete.
+        let events_complete = splitter.as_ref().is_none_or(|splitter| {
+            ends_complete(splitter, framing) && self.dialect.is_complete(&tail)
+        });
+        if cause != EndCause::Regular || !events_complete {
             let last_event = splitter.and_then(|splitter| splitter.last_event());
             let continuable = call.complete_events_only && last_event.is_some();
             let outcome = if forwarded && !continuable {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -11,6 +11,7 @@
 use wagtailledge_standins::client::CallerOutcome;
 use wagtailledge_standins::client::complete;
 use wagtailledge_standins::client::post;
+use wagtailledge_standins::service::ChunkedEnd;
 use wagtailledge_standins::stack::EngineTiming;
 use wagtailledge_standins::stack::LocalStack;
 
@@ -250,6 +251,20 @@
     });
 }
 
+#[test]
+fn can_pass_on_a_chunked_answer_of_a_plain_service() {
+    run(async {
+        let stack = start_stack(Duration::from_millis(200)).await;
+        let address = caller_address(&stack, 0);
+        let body = json!({ "report": "week" });
+        for service in &stack.services {
+            service.chunk_next_answers(&[ChunkedEnd::Complete]);
+        }
+        let answer = post(&address, "/services/house-control/report", &[], &body).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "/report {\"report\":\"week\"}"));
+    });
+}
+
 #[test]
 fn can_finish_running_requests_while_draining() {
     run(async {
