Close the connection of a cut answer without its last chunk

Cause: every forwarded body was ended as a stream of completions is, with an error event. In a text or a table that event is only more text.

Change: the error event is written into event streams only. After any other body the connection is closed without the last chunk. can_keep_a_cut_answer_of_a_plain_service_from_looking_complete failed before and passes now. It reads the socket itself: the HTTP client of the other tests takes a body without its last chunk for complete.

--- a/components/frontend/src/respond.rs
+++ b/components/frontend/src/respond.rs
@@ -18,9 +18,12 @@
 
 use crate::gate::CallerReply;
 use crate::gate::PartStream;
+use crate::gate::StreamCut;
 use crate::parse::BadRequest;
 use crate::parse::REQUEST_ID_HEADER;
 
+/// Content type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Response header that says whether a refused request has run.
 pub const OUTCOME_HEADER: &str = "x-outcome";
 
@@ -55,10 +58,13 @@
         CallerReply::Stream { status, headers, parts } => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
             let mut builder = response_builder(status, request_id);
-            if let Some(content_type) = headers.get(hyper::header::CONTENT_TYPE) {
-                builder.insert_header((CONTENT_TYPE, content_type.as_bytes()));
+            let content_type = headers.get(hyper::header::CONTENT_TYPE);
+            let content_type = content_type.map_or(&[][..], |value| value.as_bytes());
+            if !content_type.is_empty() {
+                builder.insert_header((CONTENT_TYPE, content_type));
             }
-            builder.body(BodyStream::new(event_stream(parts))).map_into_boxed_body()
+            let has_events = content_type.starts_with(EVENT_STREAM);
+            builder.body(BodyStream::new(body_stream(parts, has_events))).map_into_boxed_body()
         }
         CallerReply::Refusal(refusal) => refusal_response(refusal, request_id),
         CallerReply::UnknownName => {
@@ -79,15 +85,17 @@
     builder
 }
 
-/// Body of a streamed answer. A truncated stream ends with an error event in place of the usual end
-/// event.
-fn event_stream(
+/// Body of a forwarded answer. A truncated stream of events ends with an error event in place of the
+/// usual end event; after any other truncated body the connection is closed without the last chunk.
+fn body_stream(
     parts: PartStream,
-) -> impl stream::Stream<Item = Result<Bytes, std::convert::Infallible>> {
-    stream::unfold(Some(parts), |parts: Option<PartStream>| async move {
+    has_events: bool,
+) -> impl stream::Stream<Item = Result<Bytes, StreamCut>> {
+    stream::unfold(Some(parts), move |parts: Option<PartStream>| async move {
         let mut parts = parts?;
         match poll_fn(|cx| parts.poll_next(cx)).await? {
             Ok(part) => Some((Ok(part), Some(parts))),
+            Err(cut) if !has_events => Some((Err(cut), None)),
             Err(cut) => {
                 let error =
                     json!({ "error": { "message": cut.to_string(), "outcome": "unknown" } });
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -5,6 +5,9 @@
 
 use futures::future::join_all;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use wagtailledge_decisions::configuration::to_items;
 use wagtailledge_inventory::document::VersionState;
 use wagtailledge_operator::read_inventory;
@@ -48,6 +51,17 @@
     }
 }
 
+/// Sends a POST request without a body on a new connection and reads until the host closes it.
+async fn raw_answer(address: &str, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!("POST {path} HTTP/1.1\r\nHost: local\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    // After a reset, `answer` holds what was received before it.
+    let _ = actix_rt::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 fn caller_address(stack: &LocalStack, index: usize) -> String {
     stack.entry_hosts[index].caller_address.to_string()
 }
@@ -265,6 +279,23 @@
     });
 }
 
+#[test]
+fn can_keep_a_cut_answer_of_a_plain_service_from_looking_complete() {
+    run(async {
+        let stack = start_stack(Duration::from_millis(200)).await;
+        let address = caller_address(&stack, 0);
+        for (end, is_complete) in [(ChunkedEnd::Complete, true), (ChunkedEnd::Cut, false)] {
+            for service in &stack.services {
+                service.chunk_next_answers(&[end]);
+            }
+            let answer = raw_answer(&address, "/services/house-control/report").await;
+            assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{end:?}: {answer}");
+            assert!(answer.contains("/report"), "{end:?}: {answer}");
+            assert_eq!(answer.ends_with("0\r\n\r\n"), is_complete, "{end:?}: {answer}");
+        }
+    });
+}
+
 #[test]
 fn can_finish_running_requests_while_draining() {
     run(async {
