Reset the connection of an HTTP/1.0 caller whose stream is cut

What a caller of HTTP/1.0 saw: a truncated answer that looked complete. It gets no chunks, so its body ends with the connection, and the host closed that in the regular way also after a stream that was cut.

Change: if a response fails on such a connection, the connection is reset. With chunks the missing last chunk already shows the cut, and a reset could discard bytes that the caller has not read yet, so nothing changes there.

can_reset_the_connection_of_a_caller_without_chunks_after_a_cut_stream failed before for each way in which the engine cut its stream, and passes now.

--- a/components/frontend/src/relay/server.rs
+++ b/components/frontend/src/relay/server.rs
@@ -1,5 +1,6 @@
 //! HTTP server for requests that are forwarded by routes.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 
 use actix_rt::net::TcpStream;
 use hyper::Request;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -131,7 +133,9 @@
         debug!("cannot set TCP_NODELAY for a caller, answers may be delayed: {error}");
     }
     let record = Rc::clone(&permit.record);
+    let lacks_chunks = Cell::new(false);
     let service = service_fn(|request: Request<Incoming>| {
+        lacks_chunks.set(request.version() < Version::HTTP_11);
         let (gate, dialect) = (Rc::clone(&gate), Rc::clone(&dialect));
         let guard = record.count_request();
         async move {
@@ -141,20 +145,31 @@
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut close_requested = false;
     loop {
         tokio::select! {
-            result = connection.as_mut() => {
+            result = &mut connection => {
                 if let Err(error) = result {
                     debug!("connection of a caller failed: {error}");
+                    if lacks_chunks.get() {
+                        reset(connection.into_parts().io.inner());
+                    }
                 }
                 return;
             }
             () = permit.record.close_requested.notified(), if !close_requested => {
                 close_requested = true;
-                connection.as_mut().graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
         }
     }
 }
+
+/// Makes the end of a connection a reset. Without chunks, a regular end would say that the body in
+/// progress is complete.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        warn!("cannot reset a caller's connection, its cut answer may look complete: {error}");
+    }
+}
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -261,6 +261,47 @@
     });
 }
 
+/// Sends an HTTP/1.0 request and reads until the host ends the connection. Returns what was received
+/// and whether the connection was closed without a reset.
+async fn ask_without_chunks(address: SocketAddr, id: &str) -> (String, bool) {
+    let text = format!(
+        "POST /tell/1 HTTP/1.0\r\nHost: farm.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 4000\r\nX-Model: m0\r\nX-Token-Count: 100,20\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let read = actix_rt::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut answer)).await.unwrap();
+    (String::from_utf8_lossy(&answer).into_owned(), read.is_ok())
+}
+
+#[test]
+fn can_reset_the_connection_of_a_caller_without_chunks_after_a_cut_stream() {
+    run(async {
+        let stack = ready_stack().await;
+        add_route_without_resume(&stack).await;
+        let address = stack.hosts[0].caller_address;
+        let ends = [
+            (StreamEnd::LastChunk, true),
+            (StreamEnd::MissingChunk, false),
+            (StreamEnd::CloseInsideEvent, false),
+        ];
+        for (end, is_complete) in ends {
+            for engine in &stack.engines {
+                engine.end_next_streams(&[end]);
+            }
+            let (answer, is_closed) = ask_without_chunks(address, &format!("{end:?}")).await;
+            assert_eq!(is_closed, is_complete, "{end:?}: {answer}");
+            if is_complete {
+                assert!(answer.ends_with("data: LastChunk 5\n\n"), "{answer}");
+            }
+            for engine in &stack.engines {
+                engine.end_next_streams(&[]);
+            }
+        }
+    });
+}
+
 #[test]
 fn can_keep_the_events_of_two_runs_apart() {
     run(async {
