Never continue a stream after part of an overlong event was forwarded

What callers would see: part of an event, then the whole event again from another engine (ORDER).

Cause: an event above 1 MiB is not held back, but the position in the stream was still the event before it, so a resumed stream sent it once more.

Change: a stream is continuable only while what was forwarded ends with a numbered event. can_keep_an_event_too_long_to_hold_back_from_being_continued failed before (Broken, which is resumed) and passes now (Truncated).

--- a/components/upstreams/src/events.rs
+++ b/components/upstreams/src/events.rs
@@ -120,6 +120,8 @@
     holds_back: bool,
     /// Bytes held back.
     pending: BytesMut,
+    /// Whether bytes of the current event were forwarded, as it is too long to be held back.
+    passes_event: bool,
 }
 
 impl EventSplitter {
@@ -137,12 +139,20 @@
         }
         let held = self.pending.len();
         self.pending.extend_from_slice(&part);
-        let Some(boundary) = boundary else {
-            // A stream that contains no events must not be buffered without limit.
-            let overlong = self.pending.len() > MAX_EVENT_BYTES;
-            return if overlong { self.pending.split().freeze() } else { Bytes::new() };
-        };
-        self.pending.split_to(held + boundary).freeze()
+        if let Some(boundary) = boundary {
+            self.passes_event = false;
+            return self.pending.split_to(held + boundary).freeze();
+        }
+        if self.pending.len() <= MAX_EVENT_BYTES {
+            return Bytes::new();
+        }
+        self.passes_event = true;
+        self.pending.split().freeze()
+    }
+
+    /// Whether what was forwarded ends with a numbered event, after which another stream can continue.
+    pub fn is_continuable(&self) -> bool {
+        self.holds_back && !self.passes_event && self.last_event().is_some()
     }
 
     /// Id of the last complete event; `None` before the first, or if that has no numeric id.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -152,14 +152,11 @@
             ends_complete(splitter, framing) && self.dialect.is_complete(&tail)
         });
         if cause != EndCause::Regular || !events_complete {
-            let last_event = splitter.and_then(|splitter| splitter.last_event());
-            let continuable = call.complete_events_only && last_event.is_some();
-            let outcome = if forwarded && !continuable {
-                AttemptOutcome::Truncated
-            } else {
-                AttemptOutcome::Broken
-            };
-            return (end, outcome);
+            let is_continuable = splitter.is_some_and(|splitter| splitter.is_continuable());
+            if forwarded && !is_continuable {
+                return (end, AttemptOutcome::Truncated);
+            }
+            return (end, AttemptOutcome::Broken);
         }
         answer.connection.release(keep_alive);
         (end, AttemptOutcome::Streamed)
