Hold back a plain answer that ends with its connection until it has ended

What callers saw: a lookup whose instance answered without a length and reset the connection ended as a cut answer, though it could have been sent again.

Cause: such an answer has no known length, so it was forwarded as it came, and its status was at the caller before the reset. The design says that answers that are not streamed are buffered completely, so that a truncated one can be retried; this kind of answer was left out.

Change: a body that is no event stream and lasts until its connection is closed is buffered up to the size at which answers are forwarded anyway.

--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -97,19 +97,38 @@
         let framing = BodyFraming::of(&answer.head);
         let keep_alive = keep_alive_time(&answer.head);
         strip_hop_headers(&mut answer.head.headers);
-        let (end, outcome) = if is_streamed(&call, &answer) {
-            self.forward(answer, &call, framing, keep_alive, on_event).await
+        let buffered = if is_streamed(&call, &answer, framing) {
+            Ok(BufferedBody::default())
         } else {
-            let (cause, outcome) = collect(answer, &call, keep_alive).await;
-            (BodyEnd { framing, cause, open_bytes: 0 }, outcome)
+            read_body(&mut answer, &call).await
+        };
+        let (end, outcome) = match buffered {
+            Ok(body) if body.is_whole => {
+                answer.connection.release(keep_alive);
+                let recorded = recorded_answer(&answer.head, body.bytes.freeze());
+                (
+                    BodyEnd::of_buffered(framing, EndCause::Regular),
+                    AttemptOutcome::Answered(recorded),
+                )
+            }
+            Ok(body) if answer.head.status.is_success() => {
+                self.forward(body.bytes.freeze(), answer, &call, framing, keep_alive, on_event)
+                    .await
+            }
+            Ok(_too_long) => {
+                (BodyEnd::of_buffered(framing, EndCause::Stopped), AttemptOutcome::Broken)
+            }
+            Err(cause) => (BodyEnd::of_buffered(framing, cause), AttemptOutcome::Broken),
         };
         on_event(CallEvent::Ended(end)).await;
         outcome
     }
 
-    /// Forwards an answer to `on_event` as its parts arrive.
+    /// Forwards an answer to `on_event` as its parts arrive, after the bytes `read` of it that were
+    /// buffered.
     async fn forward(
         &self,
+        read: Bytes,
         mut answer: OpenAnswer,
         call: &UpstreamCall,
         framing: BodyFraming,
@@ -121,16 +140,20 @@
             .then(|| EventSplitter::new(call.complete_events_only));
         let started = AnswerHead { status, headers: std::mem::take(&mut answer.head.headers) };
         if !on_event(CallEvent::Started(started)).await {
-            let cause = EndCause::Stopped;
-            return (BodyEnd { framing, cause, open_bytes: 0 }, AttemptOutcome::Broken);
+            let end = BodyEnd::of_buffered(framing, EndCause::Stopped);
+            return (end, AttemptOutcome::Broken);
         }
         let mut tail = BytesMut::new();
         let mut forwarded = false;
+        let mut read = Some(read).filter(|read| !read.is_empty());
         let cause = loop {
-            let part = match next_part(&mut answer, call).await {
-                Ok(Some(part)) => part,
-                Ok(None) => break EndCause::Regular,
-                Err(cause) => break cause,
+            let part = match read.take() {
+                Some(read) => read,
+                None => match next_part(&mut answer, call).await {
+                    Ok(Some(part)) => part,
+                    Ok(None) => break EndCause::Regular,
+                    Err(cause) => break cause,
+                },
             };
             update_tail(&mut tail, &part);
             let (part, last_event) = match &mut splitter {
@@ -199,16 +222,19 @@
     }
 }
 
-/// Whether an answer is forwarded as it arrives: only a successful one that is an event stream,
-/// is longer than `max_buffered_bytes` or has no known length.
-fn is_streamed(call: &UpstreamCall, answer: &OpenAnswer) -> bool {
+/// Whether an answer is forwarded as it arrives: only a successful one that is an event stream, is
+/// longer than `max_buffered_bytes` or comes in chunks. A body that lasts until its connection is
+/// closed is buffered first, as the connection may still be reset.
+fn is_streamed(call: &UpstreamCall, answer: &OpenAnswer, framing: BodyFraming) -> bool {
     let head = &answer.head;
     if !head.status.is_success() {
         return false;
     }
-    let length = answer.body.size_hint().exact();
-    is_event_stream(call, head)
-        || length.is_none_or(|length| length > call.max_buffered_bytes as u64)
+    let is_long = match answer.body.size_hint().exact() {
+        Some(length) => length > call.max_buffered_bytes as u64,
+        None => framing == BodyFraming::Chunked,
+    };
+    is_event_stream(call, head) || is_long
 }
 
 /// Whether the body consists of server-sent events; without a content type, the call decides.
@@ -220,26 +246,24 @@
     prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(EVENT_STREAM))
 }
 
-/// Buffers the whole answer. The attempt is broken if the answer is incomplete or longer than
-/// `max_buffered_bytes`.
-async fn collect(
-    mut answer: OpenAnswer,
-    call: &UpstreamCall,
-    keep_alive: Option<Duration>,
-) -> (EndCause, AttemptOutcome) {
-    let mut body = BytesMut::new();
-    loop {
-        match next_part(&mut answer, call).await {
-            Ok(Some(part)) if body.len() + part.len() > call.max_buffered_bytes => {
-                return (EndCause::Stopped, AttemptOutcome::Broken);
-            }
-            Ok(Some(part)) => body.extend_from_slice(&part),
-            Ok(None) => break,
-            Err(cause) => return (cause, AttemptOutcome::Broken),
+/// Bytes of a body that were read before any of them was forwarded.
+#[derive(Debug, Default)]
+struct BufferedBody {
+    bytes: BytesMut,
+    /// Whether the body has ended.
+    is_whole: bool,
+}
+
+/// Buffers a body until it ends or is longer than `max_buffered_bytes`.
+async fn read_body(answer: &mut OpenAnswer, call: &UpstreamCall) -> Result<BufferedBody, EndCause> {
+    let mut bytes = BytesMut::new();
+    while bytes.len() <= call.max_buffered_bytes {
+        match next_part(answer, call).await? {
+            Some(part) => bytes.extend_from_slice(&part),
+            None => return Ok(BufferedBody { bytes, is_whole: true }),
         }
     }
-    answer.connection.release(keep_alive);
-    (EndCause::Regular, AttemptOutcome::Answered(recorded_answer(&answer.head, body.freeze())))
+    Ok(BufferedBody { bytes, is_whole: false })
 }
 
 fn recorded_answer(head: &response::Parts, body: Bytes) -> RecordedAnswer {
--- a/components/upstreams/src/framing.rs
+++ b/components/upstreams/src/framing.rs
@@ -73,3 +73,10 @@
     /// Bytes after the last complete event; 0 if the body is not an event stream.
     pub open_bytes: usize,
 }
+
+impl BodyEnd {
+    /// End of a body of which nothing was forwarded.
+    pub fn of_buffered(framing: BodyFraming, cause: EndCause) -> Self {
+        Self { framing, cause, open_bytes: 0 }
+    }
+}
