--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -432,6 +432,32 @@
     });
 }
 
+#[test]
+fn can_keep_a_request_with_a_cut_body_from_running() {
+    run(async {
+        let stack = ready_stack().await;
+        let address = stack.hosts[0].caller_address;
+        let cuts =
+            ["Content-Length: 9\r\n\r\ncurt", "Transfer-Encoding: chunked\r\n\r\n4\r\ncurt\r\n"];
+        for (number, cut) in cuts.iter().enumerate() {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let head = format!(
+                "POST /act/1 HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: cut-{number}\r\n"
+            );
+            stream.write_all(format!("{head}{cut}").as_bytes()).await.unwrap();
+            stream.shutdown().await.unwrap();
+            let mut answer = String::new();
+            // The host may reset the connection instead of answering.
+            let _ = stream.read_to_string(&mut answer).await;
+            assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{cut:?}: {answer}");
+        }
+        let whole = send(address, "POST", "/act/1", "whole", "Content-Length: 0\r\n").await;
+        assert_eq!(whole.status, 200, "{}", whole.head);
+        let runs: Vec<String> = stack.services.iter().flat_map(FleetService::runs).collect();
+        assert_eq!(runs, ["whole"]);
+    });
+}
+
 #[test]
 fn can_apply_a_new_configuration_and_ignore_older_ones() {
     run(async {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -296,6 +296,31 @@
     });
 }
 
+#[test]
+fn can_keep_a_call_with_a_cut_body_from_running() {
+    run(async {
+        let stack = start_stack(Duration::from_millis(200)).await;
+        let address = caller_address(&stack, 0);
+        let cuts =
+            ["Content-Length: 9\r\n\r\ncurt", "Transfer-Encoding: chunked\r\n\r\n4\r\ncurt\r\n"];
+        for cut in cuts {
+            let mut stream = TcpStream::connect(&address).await.unwrap();
+            let head = "POST /services/house-control/drop HTTP/1.1\r\nHost: local\r\n";
+            stream.write_all(format!("{head}{cut}").as_bytes()).await.unwrap();
+            stream.shutdown().await.unwrap();
+            let mut answer = String::new();
+            // The host may reset the connection instead of answering.
+            let _ = stream.read_to_string(&mut answer).await;
+            assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{cut:?}: {answer}");
+        }
+        let whole = raw_answer(&address, "/services/house-control/drop").await;
+        assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+        let runs: u32 =
+            stack.services.iter().flat_map(|service| service.runs().into_values()).sum();
+        assert_eq!(runs, 1);
+    });
+}
+
 #[test]
 fn can_finish_running_requests_while_draining() {
     run(async {
