Check the events of streamed answers in the fuzzer

Upstreams now end streams before their first event, after some, without event numbers, or complete; some routes allow to resume. The oracle checks that a caller gets every event once and that a stream that ends as complete has all of them.

--- a/components/fuzzer/src/oracle.rs
+++ b/components/fuzzer/src/oracle.rs
@@ -116,6 +116,23 @@
         }
     }
 
+    /// Records that the caller got an event of a stream, whose last event so far is `last`. Checks
+    /// that none is missing or comes twice.
+    pub fn record_event(&mut self, call: u64, last: u64, event: u64) {
+        if event != last + 1 {
+            let detail = format!("call {call} got event {event} after event {last}");
+            self.report_violation("whole stream", &detail);
+        }
+    }
+
+    /// Checks that a stream that ends as complete has all its events.
+    pub fn check_stream_end(&mut self, call: u64, last: u64, events: u64) {
+        if last != events {
+            let detail = format!("call {call} got {last} of {events} events as complete");
+            self.report_violation("whole stream", &detail);
+        }
+    }
+
     /// Records a refusal that the caller received, and checks its outcome.
     pub fn record_refusal(&mut self, call: u64, now: u64, outcome: RefusalOutcome) {
         self.refused += 1;
--- a/components/fuzzer/src/world/calls.rs
+++ b/components/fuzzer/src/world/calls.rs
@@ -21,6 +21,7 @@
 use super::inventory::ASSETS;
 use super::inventory::SERVICE;
 use super::state::FuzzWorld;
+use super::streams::stream_terms;
 
 /// Time after which an attempt without an answer counts as broken, in microseconds.
 const CALL_TIMEOUT: u64 = 2_000_000;
@@ -48,7 +49,15 @@
         let unique_name = process.reducer.catalog().assets[key].name.clone();
         let call = self.last_call + 1;
         let expected = format!("{call} {unique_name}");
-        self.submit_request(slot, target, RequestRepeat::Idempotent, deadline, expected, None);
+        let request = CallerRequest {
+            ticket: RequestTicket(call),
+            target,
+            repeat: RequestRepeat::Idempotent,
+            deadline: Some(deadline),
+            caller: call % 5,
+            terms: stream_terms(call),
+        };
+        self.submit_request(slot, request, expected, None);
         Some(call)
     }
 
@@ -63,32 +72,38 @@
         let expected = name.clone().unwrap_or_else(|| format!("call {call}"));
         let reducer = &process.reducer;
         let repeat = reducer.service_repeat(SERVICE, idempotent, name.as_deref(), u64::from(key));
-        self.submit_request(slot, target, repeat, deadline, expected, name);
+        let request = CallerRequest {
+            ticket: RequestTicket(call),
+            target,
+            repeat,
+            deadline: Some(deadline),
+            caller: call % 5,
+            terms: None,
+        };
+        self.submit_request(slot, request, expected, name);
         Some(call)
     }
 
     fn submit_request(
         &mut self,
         slot: usize,
-        target: RequestTarget,
-        repeat: RequestRepeat,
-        deadline: Duration,
+        request: CallerRequest,
         expected: String,
         key: Option<String>,
     ) {
-        self.last_call += 1;
-        let call = self.last_call;
-        let ticket = RequestTicket(call);
+        let ticket = request.ticket;
+        let call = ticket.0;
+        self.last_call = call;
         let now = self.now;
         let Some(process) = self.slots[slot].process.as_mut() else {
             return;
         };
         process.open_calls.insert(ticket, call);
-        let idempotent = repeat == RequestRepeat::Idempotent;
-        let deadline_at = process.clock(now).after(deadline).0;
+        let idempotent = request.repeat == RequestRepeat::Idempotent;
+        let deadline = process.clock(now).after(request.deadline.unwrap_or(Duration::MAX)).0;
         let record = CallRecord {
             expected,
-            deadline: deadline_at,
+            deadline,
             key,
             idempotent,
             runs: 0,
@@ -96,9 +111,6 @@
             refused_as_not_run: false,
         };
         self.oracle.record_call(call, record);
-        let deadline = Some(deadline);
-        let request =
-            CallerRequest { ticket, target, repeat, deadline, caller: call % 5, terms: None };
         self.submit(slot, HostEvent::RequestArrived(request));
     }
 
@@ -151,11 +163,12 @@
                 let content = String::from_utf8_lossy(&answer.body).into_owned();
                 self.deliver_answer(from, ticket, &content);
             }
-            HostEffect::Forward { ticket, .. } => {
+            HostEffect::Forward { ticket, attempt } => {
+                self.forward_stream(ticket.0, attempt);
                 let process = self.slots[from.slot].process.as_ref();
                 let call = process.and_then(|process| process.open_calls.get(&ticket).copied());
                 if let Some(call) = call {
-                    // A streamed answer has no body here, so its content counts as correct.
+                    // The events of a streamed answer are checked one by one.
                     let expected = self.oracle.expected_content(call);
                     self.deliver_answer(from, ticket, &expected);
                 }
@@ -208,7 +221,12 @@
         }
     }
 
-    fn schedule_attempt_end(&mut self, call: &DispatchedCall, delay: u64, outcome: AttemptOutcome) {
+    pub(super) fn schedule_attempt_end(
+        &mut self,
+        call: &DispatchedCall,
+        delay: u64,
+        outcome: AttemptOutcome,
+    ) {
         let end = ScheduledEvent::AttemptEnd(call.from, call.request, call.attempt, outcome);
         self.schedule_after(delay, end);
     }
@@ -258,10 +276,7 @@
             self.schedule_attempt_end(&call, CALL_TIMEOUT, AttemptOutcome::Broken);
             return;
         }
-        let streams = !call.asset.is_empty() && call.ticket.0.is_multiple_of(2);
-        if streams && self.resumes_at(call.from).is_some_and(|resume| resume <= self.now) {
-            self.submit(call.from.slot, HostEvent::AttemptStarted(call.request, call.attempt));
-            self.schedule_attempt_end(&call, 30_000, AttemptOutcome::Streamed);
+        if self.finish_stream(&call) {
             return;
         }
         let body = Bytes::from(self.answer_content(&call));
--- a/components/fuzzer/src/world/mod.rs
+++ b/components/fuzzer/src/world/mod.rs
@@ -11,5 +11,6 @@
 mod scenario;
 mod state;
 mod store;
+mod streams;
 
 pub use state::FuzzWorld;
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -24,6 +24,7 @@
 use super::processes::FuzzProcess;
 use super::processes::FuzzSlot;
 use super::store::FuzzStore;
+use super::streams::StreamTable;
 
 /// Time between two ticks of a process, in microseconds.
 const TICK_INTERVAL: u64 = 20_000;
@@ -88,6 +89,8 @@
     pub(super) sequence: u64,
     /// Number of the last call.
     pub(super) last_call: u64,
+    /// Streamed answers, as their callers see them.
+    pub(super) streams: StreamTable,
     /// Last committed configuration revision.
     pub(super) revision: u64,
     /// Maximum number of replicas in a zone, by the unique name of the asset.
@@ -121,6 +124,7 @@
             events: BTreeMap::new(),
             sequence: 0,
             last_call: 0,
+            streams: StreamTable::new(),
             revision: 0,
             replica_caps: BTreeMap::new(),
         };
