Accept only numbered events from a resumed stream

What a caller could see: events 1 to 3 of one run, then event 1 of another (ORDER), if a resumable stream was cut and the next engine ignored where to go on and sent events without numbers.

The first check of a resumed stream compared the numbers that it had and let events without any pass. In the fuzzer the upstream had decided so; over sockets can_reject_a_continuation_whose_events_have_no_numbers failed before (event 1 twice).

Change: every event of a resumed stream must have a number above the last one that the caller has, or the attempt ends before it is forwarded.

--- a/components/fuzzer/src/world/streams.rs
+++ b/components/fuzzer/src/world/streams.rs
@@ -96,7 +96,9 @@
         let cut = stream_cut(call, attempt);
         let numbered = cut.is_none_or(|cut| cut.numbered);
         let mut stream = self.streams.get(&call).copied().unwrap_or_default();
-        let forwarded = stream.forwarded_attempt == attempt;
+        // The host forwards no events without numbers behind numbered ones.
+        let is_rejected = !numbered && stream.resume_after > 0;
+        let forwarded = stream.forwarded_attempt == attempt && !is_rejected;
         let first = if numbered { stream.resume_after } else { 0 } + 1;
         let count = cut.map_or(STREAM_EVENTS, |cut| cut.events);
         let last = STREAM_EVENTS.min(first + count - 1);
--- a/components/upstreams/src/events.rs
+++ b/components/upstreams/src/events.rs
@@ -27,7 +27,7 @@
 
 /// Finds event boundaries, which are empty lines, and the ids of events. Lines may end with a line
 /// feed, a carriage return or both.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct BoundaryScanner {
     position: LinePosition,
     /// First bytes of the current line, one more than [`MAX_ID_LINE`] at most.
@@ -36,8 +36,8 @@
     event_id: Option<u64>,
     /// Id of the last complete event; `None` before the first, or if that has no numeric id.
     last_event: Option<u64>,
-    /// Lowest id of the complete events.
-    lowest_id: Option<u64>,
+    /// Lowest id of the complete events; 0 if one has no numeric id, `u64::MAX` without any event.
+    lowest_id: u64,
     /// Whether a line other than a comment has begun since the last boundary.
     has_field: bool,
     /// Whether an event has been completed.
@@ -46,6 +46,21 @@
     open_bytes: usize,
 }
 
+impl Default for BoundaryScanner {
+    fn default() -> Self {
+        Self {
+            position: LinePosition::default(),
+            line_head: Vec::new(),
+            event_id: None,
+            last_event: None,
+            lowest_id: u64::MAX,
+            has_field: false,
+            has_event: false,
+            open_bytes: 0,
+        }
+    }
+}
+
 impl BoundaryScanner {
     /// Scans the next bytes of the stream. Returns the position in `bytes` after the last boundary.
     fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
@@ -108,7 +123,7 @@
         if std::mem::take(&mut self.has_field) {
             self.has_event = true;
             self.last_event = id;
-            self.lowest_id = self.lowest_id.into_iter().chain(id).min();
+            self.lowest_id = self.lowest_id.min(id.unwrap_or(0));
         }
     }
 }
@@ -160,9 +175,9 @@
         self.scanner.last_event
     }
 
-    /// Lowest id of the complete events; `None` if none has a numeric id.
-    pub fn lowest_id(&self) -> Option<u64> {
-        self.scanner.lowest_id
+    /// Whether every complete event has a numeric id above `last`.
+    pub fn continues_after(&self, last: u64) -> bool {
+        self.scanner.lowest_id > last
     }
 
     /// Whether an event has been completed.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -160,7 +160,10 @@
                 Some(splitter) => (splitter.push(part), splitter.last_event()),
                 None => (part, None),
             };
-            if splitter.as_ref().is_some_and(|splitter| starts_over(call, splitter)) {
+            let continues = |splitter: &EventSplitter| {
+                call.resume_after.is_none_or(|last| splitter.continues_after(last))
+            };
+            if !splitter.as_ref().is_none_or(continues) {
                 break EndCause::Failed;
             }
             forwarded |= !part.is_empty();
@@ -186,11 +189,6 @@
     }
 }
 
-/// Whether a stream that was to continue after an event sends that event or an earlier one.
-fn starts_over(call: &UpstreamCall, splitter: &EventSplitter) -> bool {
-    call.resume_after.is_some_and(|last| splitter.lowest_id().is_some_and(|id| id <= last))
-}
-
 /// Whether a stream whose body has ended was not truncated, as far as its events show. The end of
 /// the connection alone proves nothing, because a crashed upstream closes it as well.
 fn ends_complete(splitter: &EventSplitter, framing: BodyFraming) -> bool {
--- a/components/upstreams/src/framing.rs
+++ b/components/upstreams/src/framing.rs
@@ -43,7 +43,8 @@
 pub enum EndCause {
     /// The framing marked the end, or the upstream closed the connection of a body without any.
     Regular,
-    /// The connection failed, the framing was violated, or a resumed stream started over.
+    /// The connection failed, the framing was violated, or a resumed stream did not go on after the
+    /// last event.
     Failed,
     /// No part arrived in time.
     TimedOut,
--- a/components/upstreams/tests/events.rs
+++ b/components/upstreams/tests/events.rs
@@ -86,22 +86,22 @@
 #[test]
 fn can_tell_whether_the_last_event_has_a_numeric_id() {
     let long_id = format!("id: {}\n\n", "9".repeat(40));
-    for (text, last_event, lowest_id) in [
-        ("id: 4\ndata: a\n\nid:5\n\n", Some(5), Some(4)),
-        ("id: 4\n\ndata: no id\n\n", None, Some(4)),
-        ("id: 4\n\nid: four\n\n", None, Some(4)),
-        ("id: 4\n\n: comment\n\n", Some(4), Some(4)),
-        ("id: 4\n\nid: 5\n", Some(4), Some(4)),
-        ("data: id: 4\n\n", None, None),
-        (&long_id, None, None),
+    for (text, last_event, continues_after_3) in [
+        ("id: 4\ndata: a\n\nid:5\n\n", Some(5), true),
+        ("id: 3\n\nid: 4\n\n", Some(4), false),
+        ("id: 4\n\nid: 2\n\n", Some(2), false),
+        ("id: 4\n\ndata: no id\n\n", None, false),
+        ("id: 4\n\nid: four\n\n", None, false),
+        ("id: 4\n\n: comment\n\n", Some(4), true),
+        ("id: 4\n\nid: 3\n", Some(4), true),
+        ("data: id: 4\n\n", None, false),
+        (&long_id, None, false),
+        ("", None, true),
     ] {
         let mut splitter = EventSplitter::new(true);
         splitter.push(Bytes::copy_from_slice(text.as_bytes()));
-        assert_eq!(
-            (splitter.last_event(), splitter.lowest_id()),
-            (last_event, lowest_id),
-            "{text}"
-        );
+        assert_eq!(splitter.last_event(), last_event, "{text:?}");
+        assert_eq!(splitter.continues_after(3), continues_after_3, "{text:?}");
     }
 }
 
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -326,6 +326,25 @@
     });
 }
 
+#[test]
+fn can_reject_a_continuation_whose_events_have_no_numbers() {
+    run(async {
+        let stack = ready_stack().await;
+        stack.engines[1].set_numbering(EventNumbering::Missing);
+        let faulty = &stack.engines[0];
+        faulty.truncate_next_streams(2);
+        let mut asked = 0;
+        while faulty.pending_stream_ends() > 0 {
+            assert!(asked < MAX_ASKS, "the engine got no request");
+            asked += 1;
+            let id = format!("joined-{asked}");
+            let answer = ask(&stack, 0, "m0", &id).await;
+            let count = answer.body.matches(&format!("data: {id} 1\n\n")).count();
+            assert_eq!(count, 1, "{}", answer.body);
+        }
+    });
+}
+
 #[test]
 fn can_relay_a_stream_that_ends_with_its_connection() {
     run(async {
