--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -477,6 +477,23 @@
     });
 }
 
+#[test]
+fn can_answer_requests_with_deadlines_out_of_all_bounds() {
+    run(async {
+        let stack = ready_stack().await;
+        let address = stack.hosts[0].caller_address;
+        let head =
+            "GET /read/1 HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: d\r\nX-Deadline-Ms:";
+        // Both requests are on one connection.
+        for (deadline, status) in [("1e300", 200), ("inf", 400), ("", 400)] {
+            let text = format!("{head} {deadline}\r\n\r\n{head} 4000\r\nConnection: close\r\n\r\n");
+            let answer = exchange(address, text.as_bytes()).await;
+            assert_eq!(answer.status, status, "{deadline}: {answer:?}");
+            assert!(answer.body.contains("HTTP/1.1 200 OK"), "{deadline}: {answer:?}");
+        }
+    });
+}
+
 #[test]
 fn can_apply_a_new_configuration_and_ignore_older_ones() {
     run(async {
