Bound the keep-alive time that an upstream announces

What callers would see: a request whose answer never comes, if its upstream announced a keep-alive time of 2^63 seconds or more. The task of the exchange panicked when it put the connection into the pool, and the reducer heard of no outcome.

--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -27,6 +27,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Keep-alive time that is assumed for an upstream whose answer states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(15);
+/// Longest keep-alive time that is used; upstreams may announce any.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(600);
 /// An idle connection is closed this long before its upstream would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections to one address.
@@ -107,7 +109,8 @@
     /// Returns the connection to the pool. Must be called only after the whole body was read.
     /// `keep_alive` is the time for which the upstream keeps an idle connection open, if known.
     pub fn release(self, keep_alive: Option<Duration>) {
-        let max_idle = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
+        let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
+        let max_idle = keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
         self.pool.put(self.address, self.connection, max_idle);
     }
 }
