Count a stored takeover from the first write that may have stored it

A host wrote its takeover, the answer was lost, and it tried again and again while the store was away. When it read its record at last, it counted the lease from its latest attempt, not from the one that had been stored, and led for up to 4.5 s more. Another host may have taken the lease over by then.

Change: attempts against one observed version keep the time of the first. Only one of them can be stored, so that time is never too late. An answer that says that a write succeeded still counts from that write.

Measured: can_have_no_authority_by_a_takeover_that_was_stored_long_ago failed before (authority without a renewal) and passes now.

--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -94,7 +94,8 @@
     next_yield: Moment,
     /// When to take over the observed version; `None` until a takeover is allowed.
     takeover_at: Option<Moment>,
-    /// A takeover that may have been stored, and when its write was sent.
+    /// A takeover that may have been stored, and when the first write for the observed version was
+    /// sent; an earlier write may have stored the same record.
     pending_takeover: Option<(LeaseRecord, Moment)>,
     /// Epoch and version of the lease record for which a successor last confirmed that its promises
     /// have expired.
@@ -304,7 +305,8 @@
         };
         let expected = observed.version;
         self.takeover_at = None;
-        self.pending_takeover = Some((record.clone(), context.now));
+        let first_sent = self.pending_takeover.take().map_or(context.now, |(_, sent)| sent);
+        self.pending_takeover = Some((record.clone(), first_sent));
         self.compare_and_swap(context, LeaseCall::Acquire, expected, &record);
     }
 
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -120,3 +120,31 @@
         "{unannounced:?} unannounced, {announced:?} announced"
     );
 }
+
+#[test]
+fn can_have_no_authority_by_a_takeover_that_was_stored_long_ago() {
+    let timing = TimingRules::default();
+    let mut leader = TestLeader::before_election(INVENTORY, "llm");
+    leader.submit(HostEvent::Tick);
+    leader.set_away(true);
+    // No other host is reachable any more, so that every attempt writes the same record.
+    leader.advance(timing.peer_timeout.as_millis() as u64 * 2);
+    leader.set_away(false);
+    leader.lose_answers(true);
+    while leader.stored("lease/").is_none() {
+        leader.advance(10);
+    }
+    leader.lose_answers(false);
+    leader.set_away(true);
+    leader.advance((timing.lease_ttl + timing.lease_margin).as_millis() as u64);
+    leader.set_away(false);
+    // Another host may take over by now. This one learns that its first write was stored.
+    let first = stored_lease(&leader);
+    let returned = leader.host.now;
+    while stored_lease(&leader) == first {
+        assert!(leader.host.now.since(returned) < LEASE_CHANGE_TIMEOUT, "nothing was written");
+        assert!(!leader.host.reducer.has_authority(leader.host.now), "authority without a renewal");
+        leader.host.advance(10);
+        leader.answer_store_calls(1);
+    }
+}
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -32,6 +32,10 @@
     store: BTreeMap<String, (u64, String)>,
     /// Latest version that the store has assigned.
     revision: u64,
+    /// Whether calls take effect in the store without an answer.
+    loses_answers: bool,
+    /// Whether calls fail without an effect.
+    is_away: bool,
     /// Number of effects already processed.
     processed: usize,
     /// Orders without an answer, oldest first.
@@ -69,7 +73,25 @@
             report: None,
         };
         host.submit(HostEvent::Registry(vec![RegistryChange::Present(Box::new(engine))]));
-        Self { host, store: BTreeMap::new(), revision: 0, processed: 0, pending: Vec::new() }
+        Self {
+            host,
+            store: BTreeMap::new(),
+            revision: 0,
+            loses_answers: false,
+            is_away: false,
+            processed: 0,
+            pending: Vec::new(),
+        }
+    }
+
+    /// Sets whether calls take effect in the store without an answer.
+    pub fn lose_answers(&mut self, loses_answers: bool) {
+        self.loses_answers = loses_answers;
+    }
+
+    /// Sets whether calls fail without an effect.
+    pub fn set_away(&mut self, is_away: bool) {
+        self.is_away = is_away;
     }
 
     /// Writes a key, as another host would.
@@ -142,12 +164,21 @@
 
     /// Answers new store calls and queues new orders.
     fn process_effects(&mut self) {
-        while self.processed < self.host.effects.len() {
+        self.answer_store_calls(usize::MAX);
+    }
+
+    /// Answers up to `count` new store calls and queues the orders before them.
+    pub fn answer_store_calls(&mut self, count: usize) {
+        let mut answered = 0;
+        while self.processed < self.host.effects.len() && answered < count {
             let effect = self.host.effects[self.processed].clone();
             self.processed += 1;
             match effect {
                 HostEffect::Store(call) => {
-                    let outcome = self.execute(call.op);
+                    answered += 1;
+                    let answer =
+                        if self.is_away { StoreOutcome::Failed } else { self.execute(call.op) };
+                    let outcome = if self.loses_answers { StoreOutcome::Failed } else { answer };
                     self.host.submit(HostEvent::StoreOutcome(call.id, outcome));
                 }
                 HostEffect::Order(order) => self.pending.push(order),
