Reject a continuation that is no event stream

What a caller could see: the text of another answer behind the events of the first run, if an engine that is asked to continue a stream sends chunks of another content type. Found by reading the change once more: only events were checked for their numbers, so a body without events passed.

Change: a resumed stream must consist of events. A test with raw answers failed before (the text was forwarded and the answer counted as complete) and passes now.

--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -160,10 +160,10 @@
                 Some(splitter) => (splitter.push(part), splitter.last_event()),
                 None => (part, None),
             };
-            let continues = |splitter: &EventSplitter| {
-                call.resume_after.is_none_or(|last| splitter.continues_after(last))
-            };
-            if !splitter.as_ref().is_none_or(continues) {
+            let continues = call.resume_after.is_none_or(|last| {
+                splitter.as_ref().is_some_and(|splitter| splitter.continues_after(last))
+            });
+            if !continues {
                 break EndCause::Failed;
             }
             forwarded |= !part.is_empty();
