--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`store`], [`registry`]: calls to the key-value service, and the pending ones by purpose.
 //! - [`admission`]: open requests and the queue of waiting requests.
 //! - [`routing`]: replicas of all scopes; load and health of upstreams.
+//! - [`limits`]: limits that upstreams set on the requests of all hosts together.
 //! - [`retry`]: retry budget of a host.
 //! - [`ledger`]: records that prevent a non-idempotent call from running twice.
 //! - [`lease`]: election of the leader of a scope.
@@ -30,6 +31,7 @@
 pub mod identity;
 pub mod lease;
 pub mod ledger;
+pub mod limits;
 pub mod membership;
 pub mod message;
 pub mod order;
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -147,6 +147,10 @@
                     shell.submit(HostEvent::LoadReport(plan.upstream, load));
                     futures::future::ready(true).boxed_local()
                 }
+                CallEvent::Limit(notice) => {
+                    times.borrow_mut().limit = Some(notice);
+                    futures::future::ready(true).boxed_local()
+                }
                 CallEvent::Started(head) => {
                     times.borrow_mut().status = head.status;
                     shell.begin_stream(plan.ticket, head.status, head.headers);
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -7,6 +7,7 @@
 use wagtailledge_decisions::effect::DecisionKind;
 use wagtailledge_decisions::effect::DecisionRecord;
 use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::limits::LimitNotice;
 use wagtailledge_decisions::order::EngineReport;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
@@ -70,6 +71,14 @@
     format!("{sequence} accepted, {ready} ready, {loading} coming, {activity}")
 }
 
+/// Describes what an answer said about a limit, in requests a second.
+fn describe_limit(notice: LimitNotice) -> String {
+    match notice {
+        LimitNotice::Limited(rate) => rate.to_string(),
+        LimitNotice::Unlimited => "none".to_owned(),
+    }
+}
+
 /// Logs the outcome of an order that was sent to an engine.
 pub fn log_order(
     host: &str,
@@ -119,6 +128,8 @@
     pub status: u16,
     /// How the answer's body ended; `None` while it has not, or if the attempt was aborted.
     pub body_end: Option<BodyEnd>,
+    /// What the answer said about its upstream's limit; `None` if nothing.
+    pub limit: Option<LimitNotice>,
 }
 
 impl AttemptTimes {
@@ -133,6 +144,7 @@
             parts: 0,
             status: 0,
             body_end: None,
+            limit: None,
         }
     }
 
@@ -178,12 +190,13 @@
     let end = times.body_end;
     let (framing, cause) = end.map_or(("", ""), |end| (end.framing.name(), end.cause.name()));
     let open_bytes = end.map_or(0, |end| end.open_bytes);
+    let limit = times.limit.map_or_else(String::new, describe_limit);
     info!(
         target: "attempt",
         host = host, request = request_id, upstream = upstream, attempt = attempt,
         outcome = outcome, status = status, first_ms = first_ms, parts = times.parts,
         pause_ms = pause_ms as u64, took_ms = took_ms as u64,
-        framing = framing, end = cause, open_bytes = open_bytes;
+        framing = framing, end = cause, open_bytes = open_bytes, limit = limit.as_str();
         "{request_id} at {upstream}: {outcome}"
     );
 }
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::limits::LimitNotice;
 
 use crate::framing::BodyEnd;
 
@@ -66,6 +67,8 @@
 pub enum CallEvent {
     /// The upstream reported its load.
     Load(UpstreamLoad),
+    /// The head of the answer says whether the upstream limits requests.
+    Limit(LimitNotice),
     /// A streamed answer begins.
     Started(AnswerHead),
     /// Part of a streamed answer, and the id of the last complete event so far, if known.
--- a/components/upstreams/src/dialect.rs
+++ b/components/upstreams/src/dialect.rs
@@ -17,6 +17,7 @@
 use hyper::header::UPGRADE;
 use hyper::http::response;
 use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::limits::LimitNotice;
 
 use crate::call::UpstreamCall;
 use crate::pool::ConnectionPool;
@@ -47,6 +48,9 @@
     pub verdict: HeadVerdict,
     /// Load of the upstream, if the head contains it.
     pub load: Option<UpstreamLoad>,
+    /// What the head says about the upstream's limit; `None` if the dialect has no limits, or the
+    /// head is unreadable or of another request.
+    pub limit: Option<LimitNotice>,
 }
 
 /// HTTP protocol of one kind of upstream.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -88,6 +88,9 @@
         if let Some(load) = check.load {
             on_event(CallEvent::Load(load)).await;
         }
+        if let Some(notice) = check.limit {
+            on_event(CallEvent::Limit(notice)).await;
+        }
         match check.verdict {
             HeadVerdict::Answer => {}
             HeadVerdict::Refused => return AttemptOutcome::NotRun { misplaced: false },
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Keys of the log lines about requests, in the order in which they are written.
-const KEYS: [&str; 21] = [
+const KEYS: [&str; 22] = [
     "kind",
     "host",
     "request",
@@ -25,6 +25,7 @@
     "framing",
     "end",
     "open_bytes",
+    "limit",
     "expected",
     "listing",
     "zone",
@@ -92,6 +93,12 @@
         format!(" (body framed by {framing}, end {end}{open})")
     }
 
+    /// Describes the limit that the answer named; empty if it named none.
+    fn limit(&self) -> String {
+        let named = self.field("limit").filter(|limit| !matches!(*limit, "" | "none"));
+        named.map_or_else(String::new, |rate| format!(", limit {rate} requests a second"))
+    }
+
     /// Describes the event of this line, with its time and host.
     fn event(&self) -> String {
         let value = |key| self.field(key).unwrap_or("?");
@@ -104,13 +111,14 @@
                 value("alternatives")
             ),
             (None, Some(outcome)) => format!(
-                "attempt {} at {}: {outcome}, status {}, {} parts, {} ms{}",
+                "attempt {} at {}: {outcome}, status {}, {} parts, {} ms{}{}",
                 value("attempt"),
                 value("upstream"),
                 value("status"),
                 value("parts"),
                 value("took_ms"),
-                self.body_end()
+                self.body_end(),
+                self.limit()
             ),
             (Some(kind), _) => format!("{kind}: {}, {}", value("choice"), value("reason")),
             (None, None) => self.text.clone(),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -56,7 +56,7 @@
 [2026-09-07T19:32:13Z INFO  decision] route llm/m1@1 -> i-6e kind=route host=east-2 request=9a88 subject=llm/m1@1 choice=i-6e reason=least expected load alternatives=2
 [2026-09-07T19:32:15Z INFO  attempt] 9a87 at i-6e: broken host=east-1 request=9a87 upstream=i-6e attempt=1 outcome=broken status=200 first_ms=11 parts=166 pause_ms=85 took_ms=3662
 [2026-09-07T19:32:19Z INFO  decision] abandon llm/m1@1 -> after 3199 ms kind=abandon host=east-2 request=9a89 subject=llm/m1@1 choice=after 3199 ms reason=waited for an upstream alternatives=0
-[2026-09-07T19:32:21Z INFO  attempt] 9a90 at i-6e: broken host=east-1 request=9a90 upstream=i-6e attempt=1 outcome=broken status=200 first_ms=100 parts=6 pause_ms=40 took_ms=225 framing=until close end=regular open_bytes=8
+[2026-09-07T19:32:21Z INFO  attempt] 9a90 at i-6e: broken host=east-1 request=9a90 upstream=i-6e attempt=1 outcome=broken status=200 first_ms=100 parts=6 pause_ms=40 took_ms=225 framing=until close end=regular open_bytes=8 limit=0.5
 ";
 
 fn explain(request: &str) -> Output {
@@ -81,7 +81,7 @@
     );
     assert_eq!(lines[3], "=> failed, it may have run: upstream failed");
     let cut = String::from_utf8(explain("9a90").stdout).unwrap();
-    let end = "broken, status 200, 6 parts, 225 ms (body framed by until close, end regular, 8 bytes into an event)";
+    let end = "broken, status 200, 6 parts, 225 ms (body framed by until close, end regular, 8 bytes into an event), limit 0.5 requests a second";
     assert!(cut.contains(end), "{cut}");
     let abandoned = String::from_utf8(explain("9a89").stdout).unwrap();
     assert!(
