Add a failing test for an engine that gets more requests than its limit

Four hosts on the stand-ins with one engine that names a limit of one request a second got 50 requests through in 4 s; the users' rule allows 11.

--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -82,6 +82,10 @@
     stream_ends: VecDeque<StreamEnd>,
     order_answers_to_lose: u32,
     numbering: EventNumbering,
+    /// Arrival times of all requests, those that did not run included.
+    arrivals: Vec<Instant>,
+    /// Limit that answers name, in requests a second; no limit if empty.
+    limit: String,
 }
 
 /// A model engine that can simulate faults.
@@ -145,6 +149,17 @@
         self.lock().numbering = numbering;
     }
 
+    /// Arrival times of all requests of callers, in order.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Names a limit in all later answers, in requests a second; none if empty. The engine itself
+    /// accepts any number of requests.
+    pub fn name_limit(&self, limit: &str) {
+        limit.clone_into(&mut self.lock().limit);
+    }
+
     /// Executes the next `count` orders without answering them.
     pub fn lose_next_order_answers(&self, count: u32) {
         self.lock().order_answers_to_lose = count;
@@ -168,27 +183,28 @@
 
     fn serve(&self, request: &StandInRequest) -> StandInAnswer {
         let mut state = self.lock();
+        state.arrivals.push(Instant::now());
+        let limit = (!state.limit.is_empty()).then(|| ("server-limit", state.limit.clone()));
         let target = request.header("x-model");
         let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
         let adapters = state.resident.get(model);
         let resident = adapters.is_some_and(|names| adapter.is_empty() || names.contains(adapter));
         if !resident || request.header("x-expect-instance") != self.name {
-            return StandInAnswer::Reply(
-                421,
-                vec![("x-instance-id", self.name.clone())],
-                Bytes::new(),
-            );
+            let mut headers = vec![("x-instance-id", self.name.clone())];
+            headers.extend(limit);
+            return StandInAnswer::Reply(421, headers, Bytes::new());
         }
         let after = request.header("last-event-id").parse().ok();
         let id = request.request_id.clone().unwrap_or_default();
         let headers = request.headers.clone();
         state.runs.push(RunRecord { request_id: id.clone(), resumed_after: after, headers });
         let end = state.stream_ends.pop_front().unwrap_or_default();
-        let response_headers = vec![
+        let mut response_headers = vec![
             ("x-request-id", id.clone()),
             ("x-server-stamp", self.name.clone()),
             ("x-server-load", "1,0,64".to_owned()),
         ];
+        response_headers.extend(limit);
         let events = event_stream(&id, after.unwrap_or(0), end, state.numbering);
         match end {
             StreamEnd::Close | StreamEnd::CloseInsideEvent => {
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -17,6 +18,10 @@
 
 /// Upper bound for each wait; a passing test needs less.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Span in which the requests of an engine with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after an engine first names its limit from which its requests are counted.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
 /// Requests after which an engine is assumed to get none.
 const MAX_ASKS: usize = 100;
 const SPEC: FleetSpec =
@@ -77,9 +82,14 @@
     send(stack.hosts[host].caller_address, "POST", "/ask/1", id, &headers).await
 }
 
-/// Starts a deployment and waits until every host is ready and serves `m0`.
+/// Starts the standard deployment and waits until every host is ready and serves `m0`.
 async fn ready_stack() -> FleetStack {
-    let stack = FleetStack::start(SPEC);
+    ready_stack_of(SPEC).await
+}
+
+/// Starts a deployment and waits until every host is ready and serves `m0`.
+async fn ready_stack_of(spec: FleetSpec) -> FleetStack {
+    let stack = FleetStack::start(spec);
     let ready = stack
         .wait_until(WAIT_LIMIT, async |stack| {
             for host in 0..stack.hosts.len() {
@@ -620,3 +630,54 @@
         assert!(counted, "the metrics do not count the request");
     });
 }
+
+/// Most requests that an engine may get in [`LIMIT_WINDOW`] from hosts that know its limit.
+fn allowed_in_window(per_second: f64) -> usize {
+    (1.5 * per_second * LIMIT_WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+/// Most arrivals in any [`LIMIT_WINDOW`].
+fn busiest_window(arrivals: &[Instant]) -> usize {
+    let count = |start: &Instant| {
+        let window = *start..=*start + LIMIT_WINDOW;
+        arrivals.iter().filter(|at| window.contains(at)).count()
+    };
+    arrivals.iter().map(count).max().unwrap_or(0)
+}
+
+/// Sends requests for `m0` to all hosts in turn for `time` and returns their answers.
+async fn ask_steadily(stack: &FleetStack, interval: Duration, time: Duration) -> Vec<RawAnswer> {
+    let headers = "X-Model: m0\r\nX-Token-Count: 100,20\r\n";
+    let started = Instant::now();
+    let mut asks = Vec::new();
+    while started.elapsed() < time {
+        let number = asks.len();
+        let address = stack.hosts[number % stack.hosts.len()].caller_address;
+        asks.push(actix_rt::spawn(async move {
+            send(address, "POST", "/ask/1", &format!("steady-{number}"), headers).await
+        }));
+        actix_rt::time::sleep(interval).await;
+    }
+    futures::future::try_join_all(asks).await.expect("no request panics")
+}
+
+#[test]
+fn can_keep_an_engine_from_getting_more_than_its_limit() {
+    run(async {
+        let stack = ready_stack_of(FleetSpec { hosts: 4, engines: 1, ..SPEC }).await;
+        let engine = &stack.engines[0];
+        engine.name_limit("1");
+        let named_at = Instant::now();
+        let answers = ask_steadily(&stack, Duration::from_millis(80), Duration::from_secs(9)).await;
+        let counted = named_at + LIMIT_CONTACT;
+        let arrivals: Vec<Instant> =
+            engine.arrivals().into_iter().filter(|at| *at >= counted).collect();
+        let busiest = busiest_window(&arrivals);
+        assert!(busiest <= allowed_in_window(1.0), "{busiest} requests in {LIMIT_WINDOW:?}");
+        assert!(arrivals.len() >= 4, "{} requests in six seconds", arrivals.len());
+        for answer in answers {
+            let refused = answer.status == 503 && answer.header("retry-after").is_some();
+            assert!(answer.status == 200 || refused, "{}", answer.head);
+        }
+    });
+}
