Send requests to limited upstreams only with permits of the leader

Cause: nothing read the limit, and nothing bounds what all hosts send to one upstream together. Each host chose by its own view of the load, so every decision was right for one host and the sum had no bound.

Change: the latest statement of an upstream applies on all hosts (limits/view), a request goes to a limited upstream only with a permit, and the leader of its scope grants these from one bucket at the rate of the limit (limits/allocator), to the lowest rank and earliest deadline first. Permits expire a second after the report that asked for them, so late or repeated grants add little. Leaders of other scopes ask that leader on behalf of their hosts. Without a leader that grants permits, two hosts of the engine's zone may use an eighth of the limit together. Requests whose permit would come too late are refused at once with the time to come back. Messages between hosts carry limits, wants and grants as optional fields and one new kind; hosts of older builds ignore the fields.

Why this works: the bound is kept at one place, so it doesn't depend on the number of hosts.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -12,6 +12,8 @@
 use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::message::DemandNotice;
+use wagtailledge_decisions::message::LimitReport;
+use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
@@ -154,6 +156,7 @@
             UsageRow("adapter-00007".to_owned(), 2, 1_600),
         ],
         suspects: Vec::new(),
+        limits: LimitReport::default(),
     })
 }
 
@@ -176,6 +179,8 @@
         demand: Vec::new(),
         used: Vec::new(),
         declined: Vec::new(),
+        limits: LimitTable::default(),
+        foreign_limits: LimitReport::default(),
     })
 }
 
@@ -266,6 +271,7 @@
         update,
         registry: RegistryUpdate::default(),
         declined: Vec::new(),
+        limits: LimitTable::default(),
     };
     follower.receive(identity(0, 0), PeerMessage::Leader(notice.clone()));
     follower.run(Duration::from_secs(2));
--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -59,6 +59,8 @@
     pub tried: Vec<UpstreamKey>,
     /// Last failure that an upstream answered with. The caller gets it if no retry succeeds.
     pub failure: Option<Box<RecordedAnswer>>,
+    /// Whether its wait for a permit was compared with its deadline since the leader knows of it.
+    pub permit_checked: bool,
 }
 
 impl RequestRecord {
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -30,6 +30,10 @@
     Configure,
     /// An upstream is ejected or readmitted.
     Health,
+    /// The limit of an upstream changes.
+    Limit,
+    /// A host is granted permits for requests to a limited upstream.
+    Permit,
 }
 
 /// Log record of one decision.
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -7,6 +7,7 @@
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::item::ItemMap;
 
+use crate::limits::LimitNotice;
 use crate::message::PeerEnvelope;
 use crate::order::EngineReport;
 use crate::order::OrderKey;
@@ -150,6 +151,9 @@
     OrderOutcome(OrderKey, OrderOutcome),
     /// An upstream reported its load.
     LoadReport(UpstreamKey, UpstreamLoad),
+    /// An answer of an upstream says whether it limits requests; the moment is when the request was
+    /// dispatched.
+    LimitReport(UpstreamKey, Moment, LimitNotice),
     /// The platform delivered its complete configuration, with its revision.
     Inventory(u64, ItemMap),
     /// The key-value service's watch delivered the lease record of this host's scope: its version
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -35,14 +35,18 @@
     ) {
         let Some((rank, default_deadline)) = self.rank_and_deadline(request.target) else {
             let refusal =
-                self.refusal(request.target, RefusalOutcome::NotRun, RefusalReason::Removed);
+                self.refusal(now, request.target, RefusalOutcome::NotRun, RefusalReason::Removed);
             effects.push(HostEffect::Refuse(request.ticket, refusal));
             return;
         };
         let limit = self.catalog.rules.max_waiting_per_caller as usize;
         if self.open_by_caller.get(&request.caller).is_some_and(|open| *open >= limit) {
-            let refusal =
-                self.refusal(request.target, RefusalOutcome::NotRun, RefusalReason::CallerLimit);
+            let refusal = self.refusal(
+                now,
+                request.target,
+                RefusalOutcome::NotRun,
+                RefusalReason::CallerLimit,
+            );
             effects.push(HostEffect::Refuse(request.ticket, refusal));
             return;
         }
@@ -71,6 +75,7 @@
             runs: 0,
             tried: Vec::new(),
             failure: None,
+            permit_checked: false,
         };
         self.retry_budget.record_request(now, self.service_of(request.target));
         let key = self.requests.insert(record);
@@ -122,6 +127,9 @@
     /// Reason to refuse a waiting request now because no replica can serve it in time.
     fn unservable_reason(&self, now: Moment, key: RequestKey) -> Option<RefusalReason> {
         let request = &self.requests[key];
+        if self.is_permit_late(now, key) {
+            return Some(RefusalReason::UpstreamLimit);
+        }
         let RequestTarget::Asset(asset) = request.target else {
             return None;
         };
@@ -164,7 +172,7 @@
         let request = &self.requests[key];
         let outcome_unknown = outcome == RefusalOutcome::NotRun && request.may_have_run;
         let outcome = if outcome_unknown { RefusalOutcome::Unknown } else { outcome };
-        let refusal = self.refusal(request.target, outcome, reason);
+        let refusal = self.refusal(self.last_event, request.target, outcome, reason);
         if !request.settled {
             effects.push(HostEffect::LogDecision(DecisionRecord {
                 kind: DecisionKind::Refuse,
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -22,6 +22,15 @@
 /// prefixes, uneven load costs more time than processing the prefix again.
 const MIN_AFFINITY_TOKENS: u32 = 1_000;
 
+/// Upstreams that could serve a request.
+#[derive(Debug, Default)]
+pub(super) struct TargetUpstreams {
+    /// Those that a request may be sent to now.
+    pub(super) open: Vec<UpstreamCandidate>,
+    /// Those with a limit for which this host has no permit.
+    pub(super) blocked: Vec<UpstreamKey>,
+}
+
 impl HostReducer {
     /// Dispatches waiting requests of all targets: the lowest rank first, and within a rank the
     /// target with the fewest in flight, so that a burst for one model does not starve the others.
@@ -79,7 +88,7 @@
         if now < self.dispatch_not_before {
             return false;
         }
-        let candidates = self.candidates(now, target);
+        let TargetUpstreams { open: candidates, blocked } = self.candidates(now, target);
         if candidates.is_empty() {
             return false;
         }
@@ -96,6 +105,7 @@
             return false;
         };
         self.queue.remove(target, head);
+        self.limits.record_spared(now, &blocked);
         self.dispatch(now, head.request, upstream, candidates.len(), effects);
         true
     }
@@ -109,32 +119,37 @@
     }
 
     /// Upstreams that could serve a request for `target` now.
-    fn candidates(&self, now: Moment, target: RequestTarget) -> Vec<UpstreamCandidate> {
+    pub(super) fn candidates(&self, now: Moment, target: RequestTarget) -> TargetUpstreams {
         let keys: &[UpstreamKey] = match target {
             RequestTarget::Asset(asset) => self.view.ready(asset),
             RequestTarget::Service(key) => {
                 self.catalog.services.get(key).map_or(&[], |service| &service.instances)
             }
         };
-        let mut candidates = Vec::with_capacity(keys.len());
+        let mut upstreams = TargetUpstreams::default();
         for key in keys {
             let Some(record) = self.catalog.upstreams.get(*key) else {
                 continue;
             };
             let excluded =
                 matches!(target, RequestTarget::Asset(asset) if self.is_excluded(now, asset, *key));
-            if !excluded && self.members.upstream_accepts(&self.catalog, *key) {
+            if excluded || !self.members.upstream_accepts(&self.catalog, *key) {
+                continue;
+            }
+            if self.limits.allows(now, *key) {
                 let local = record.zone == self.me.zone;
                 let name_hash = xxh3_64(record.name.as_bytes());
-                candidates.push(UpstreamCandidate {
+                upstreams.open.push(UpstreamCandidate {
                     key: *key,
                     slots: record.slots,
                     local,
                     name_hash,
                 });
+            } else {
+                upstreams.blocked.push(*key);
             }
         }
-        candidates
+        upstreams
     }
 
     /// Whether a replica that refused requests is backing off or already has a probe in flight.
@@ -198,6 +213,7 @@
             self.retry_budget.record_retry(now, service);
         }
         self.tracker.record_dispatch(upstream);
+        self.limits.record_dispatch(now, upstream);
         *self.running.entry(target).or_default() += 1;
         let (subject, asset) = match target {
             RequestTarget::Asset(asset) => {
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod calls;
 mod dispatch;
+mod limits;
 mod names;
 mod peer_leaders;
 mod peer_sync;
--- a/components/decisions/src/host/peer_leaders.rs
+++ b/components/decisions/src/host/peer_leaders.rs
@@ -10,6 +10,7 @@
 use crate::routing::TableRange;
 use crate::time::Moment;
 
+use super::limits::WANT_INTERVAL;
 use super::peer_sync::PeerSync;
 use super::state::HostReducer;
 use super::usage::UsageCounts;
@@ -51,6 +52,20 @@
         }
     }
 
+    /// Whether `identity` is the last known leader of another scope, with this epoch.
+    pub(super) fn is_peer_leader(&self, identity: &HostIdentity, epoch: u64) -> bool {
+        let peer_leader = self.peer_leaders.get(&identity.scope);
+        let leader = peer_leader.and_then(|peer_leader| peer_leader.leader.as_ref());
+        leader.is_some_and(|(leader, known)| leader == identity && *known == epoch)
+    }
+
+    /// Makes a digest due for every other scope.
+    pub(super) fn mark_digests_due(&mut self) {
+        for peer_leader in self.peer_leaders.values_mut() {
+            peer_leader.sync.dirty = true;
+        }
+    }
+
     /// All configured scopes except this host's.
     fn other_scopes(&self) -> Vec<String> {
         let scopes = self.catalog.scopes.iter();
@@ -101,7 +116,7 @@
     }
 
     fn send_digest(
-        &self,
+        &mut self,
         now: Moment,
         scope: &str,
         peer_leader: &mut PeerLeader,
@@ -116,7 +131,8 @@
         let behind = demand_changed || sync.replicas.is_behind(self.view.id(), version);
         let silent = peer_leader.last_message.is_none_or(|at| at < self.silent_since(now));
         let heartbeat = self.timing.heartbeat / if silent { PROBES_PER_HEARTBEAT } else { 1 };
-        if !sync.is_due(now, self.timing.notice_pause, heartbeat, behind) {
+        let wants_due = now.since(sync.sent_at) >= WANT_INTERVAL && self.waits_for_scope(scope);
+        if !wants_due && !sync.is_due(now, self.timing.notice_pause, heartbeat, behind) {
             return;
         }
         let receivers = self.digest_receivers(now, scope, peer_leader);
@@ -144,6 +160,8 @@
                 .flatten()
                 .filter_map(|asset| self.asset_name(*asset))
                 .collect(),
+            limits: self.own_limit_table(now),
+            foreign_limits: self.foreign_limit_report(now, scope),
         };
         for receiver in receivers {
             effects.push(HostEffect::send(receiver, PeerMessage::Digest(digest.clone())));
@@ -208,6 +226,8 @@
         peer_leader.sync.dirty |= changed;
         self.notices_due |= changed;
         self.apply_update(now, &from.scope, TableRange::OwnScope, &digest.update, effects);
+        self.apply_limit_table(now, &from, &digest.limits, effects);
+        self.handle_limit_report(now, &from, &digest.foreign_limits, effects);
         let usage = from_usage_rows(&self.catalog, &digest.used);
         let declined = self.assets_named(&digest.declined);
         self.with_placement(now, effects, |placement, context| {
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -8,6 +8,7 @@
 use crate::request::RefusalOutcome;
 use crate::request::RefusalReason;
 use crate::request::RequestTarget;
+use crate::time::Moment;
 
 use super::state::HostReducer;
 
@@ -34,8 +35,11 @@
     }
 
     /// How long a refused caller should wait before it retries.
-    fn retry_after(&self, target: RequestTarget, reason: RefusalReason) -> Duration {
+    fn retry_after(&self, now: Moment, target: RequestTarget, reason: RefusalReason) -> Duration {
         match (reason, target) {
+            (RefusalReason::UpstreamLimit, _) => {
+                self.longest_permit_wait(now, target).max(MIN_RETRY_AFTER)
+            }
             (RefusalReason::HostEnds, _) => RETRY_AFTER_SHUTDOWN,
             (RefusalReason::TooLate | RefusalReason::NoCapacity, RequestTarget::Asset(asset))
                 if self.catalog.assets.contains_key(asset) =>
@@ -49,11 +53,12 @@
     /// Refusal with the retry delay for its target and reason.
     pub(super) fn refusal(
         &self,
+        now: Moment,
         target: RequestTarget,
         outcome: RefusalOutcome,
         reason: RefusalReason,
     ) -> CallerRefusal {
-        CallerRefusal { outcome, reason, retry_after: self.retry_after(target, reason) }
+        CallerRefusal { outcome, reason, retry_after: self.retry_after(now, target, reason) }
     }
 }
 
@@ -64,6 +69,7 @@
         RefusalReason::TooLate => "no replica can be ready in time",
         RefusalReason::QueueFull => "queue is full",
         RefusalReason::CallerLimit => "too many requests of this caller",
+        RefusalReason::UpstreamLimit => "limits of its upstreams are used up",
         RefusalReason::NoCapacity => "no engine has room",
         RefusalReason::UpstreamFailed => "upstream failed",
         RefusalReason::LedgerAway => "ledger could not be reached",
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -87,7 +87,7 @@
             self.member_syncs.insert(identity.name, sync);
         }
         for ((replicas, registry), receivers) in groups {
-            let notice = self.build_leader_notice(replicas, registry);
+            let notice = self.build_leader_notice(now, replicas, registry);
             let message = Box::new(PeerMessage::Leader(notice));
             effects.push(HostEffect::Broadcast(receivers, message));
         }
@@ -111,7 +111,7 @@
 
     /// Notice with all changes since these versions of the replica table and the registered
     /// upstreams.
-    fn build_leader_notice(&self, replicas: u64, registry: u64) -> LeaderNotice {
+    fn build_leader_notice(&self, now: Moment, replicas: u64, registry: u64) -> LeaderNotice {
         let declined = self.declined.iter().filter_map(|asset| self.asset_name(*asset));
         LeaderNotice {
             // Also sent without authority, as hosts need the replica table for routing.
@@ -121,6 +121,7 @@
             update: self.view.update_for(&self.catalog, TableRange::AllScopes, replicas),
             registry: self.registered_upstreams.update_since(registry),
             declined: declined.collect(),
+            limits: self.limit_table(now),
         }
     }
 
@@ -136,13 +137,18 @@
         let usage_due = !self.unreported_usage.is_empty()
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         // The leader's heartbeat shows that it is alive, so idle hosts can send less often.
-        if !usage_due && !self.leader_sync.is_due(now, pause, heartbeat * IDLE_HEARTBEATS, false) {
+        let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
+        if !usage_due
+            && !limits_due
+            && !self.leader_sync.is_due(now, pause, heartbeat * IDLE_HEARTBEATS, false)
+        {
             return;
         }
         self.leader_sync.dirty = false;
         self.leader_sync.sent_at = now;
         let usage = std::mem::take(&mut self.unreported_usage);
         let suspects = std::mem::take(&mut self.suspects);
+        let limits = self.limit_report(now);
         let name_of = |key| self.catalog.upstreams.get(key).map(|record| record.name.clone());
         let notice = DemandNotice {
             epoch: leader.epoch,
@@ -152,6 +158,7 @@
             demand: self.demand_rows(now),
             used: to_usage_rows(&self.catalog, usage),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
+            limits,
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
     }
@@ -172,6 +179,7 @@
         let same_leader = self.leader.as_ref().is_some_and(|leader| leader.identity == from);
         if !same_leader {
             self.leader_sync = PeerSync { dirty: true, ..PeerSync::default() };
+            self.limit_leader_replaced();
         }
         self.leader =
             Some(LeaderContact { identity: from.clone(), epoch: notice.epoch, last_message: now });
@@ -180,6 +188,7 @@
         self.apply_registry_update(now, &notice.registry, effects);
         let scope = from.scope.clone();
         self.apply_update(now, &scope, TableRange::AllScopes, &notice.update, effects);
+        self.apply_limit_table(now, &from, &notice.limits, effects);
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
@@ -270,6 +279,7 @@
                 placement.schedule_claim(now, upstream);
             }
         });
+        self.handle_limit_report(now, &from, &notice.limits, effects);
         self.plan(now, effects);
     }
 }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -46,6 +46,7 @@
 use crate::timing::TimingRules;
 
 use super::calls::CallLedger;
+use super::limits::HostLimits;
 use super::peer_leaders::PeerLeader;
 use super::peer_sync::PeerSync;
 use super::usage::UsageCounts;
@@ -76,6 +77,7 @@
     pub(super) members: MemberDirectory,
     pub(super) view: ReplicaView,
     pub(super) tracker: UpstreamTracker,
+    pub(super) limits: HostLimits,
     /// All open requests, settled ones included.
     pub(super) requests: SlotMap<RequestKey, RequestRecord>,
     /// Keys of the open requests by the ticket that the frontend gave them.
@@ -130,9 +132,9 @@
     /// When to check next for due messages to other hosts and scopes.
     pub(super) next_notice_check: Moment,
     /// When the latest event arrived.
-    last_event: Moment,
+    pub(super) last_event: Moment,
     /// When the process started, or received its first event after its latest freeze.
-    resumed_at: Moment,
+    pub(super) resumed_at: Moment,
     /// Dispatches wait until this moment, or until a host list or registry update arrives.
     pub(super) dispatch_not_before: Moment,
     pub(super) rng: SmallRng,
@@ -152,6 +154,7 @@
             members: MemberDirectory::default(),
             view: ReplicaView::new(table_seed),
             tracker: UpstreamTracker::default(),
+            limits: HostLimits::new(now, table_seed),
             requests: SlotMap::with_key(),
             tickets: HashMap::new(),
             queue: WaitingQueue::default(),
@@ -197,6 +200,7 @@
     pub fn reduce(&mut self, now: Moment, event: HostEvent, effects: &mut Vec<HostEffect>) {
         self.detect_freeze(now);
         self.handle_event(now, event, effects);
+        self.allocate_permits(now, effects);
         // Other hosts may be waiting for these changes: sends them without waiting for a tick.
         let changed = self.view.version(TableRange::AllScopes) != self.notified_version;
         if self.leader_sync.dirty || self.notices_due || (changed && self.placement.is_some()) {
@@ -228,6 +232,9 @@
             HostEvent::LoadReport(upstream, load) => {
                 self.tracker.record_load(now, upstream, load.running + load.waiting);
             }
+            HostEvent::LimitReport(upstream, dispatched, notice) => {
+                self.limit_observed(now, upstream, dispatched, notice, effects);
+            }
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, effects);
@@ -258,6 +265,7 @@
     fn detect_freeze(&mut self, now: Moment) {
         if now.since(self.last_event) >= FREEZE_THRESHOLD {
             self.resumed_at = now;
+            self.limits.permits.expire_all();
             self.dispatch_not_before = now.after(HOST_LIST_WAIT_AFTER_FREEZE);
         }
         self.last_event = now;
@@ -285,6 +293,7 @@
         self.ledger_tick(now, effects);
         self.configuration_tick(now, effects);
         self.plan(now, effects);
+        self.limit_tick(now, effects);
         self.dispatch_all_waiting(now, effects);
         self.send_notices(now, effects);
         if now >= self.next_sweep {
@@ -310,6 +319,7 @@
             PeerMessage::Leader(notice) => self.handle_leader_notice(now, from, notice, effects),
             PeerMessage::Demand(notice) => self.handle_demand_notice(now, from, notice, effects),
             PeerMessage::Digest(digest) => self.handle_digest(now, from, digest, effects),
+            PeerMessage::Permit(grant) => self.handle_permit_grant(now, &from, &grant, effects),
             PeerMessage::LeaderHint { leader } => self.handle_leader_hint(leader),
             PeerMessage::LeaseReleased { epoch } => self.handle_lease_released(&from, epoch),
             PeerMessage::PromiseRequest { epoch, version, round } => {
@@ -486,6 +496,7 @@
             self.view.start_leading(&self.catalog, &self.me.scope);
         }
         self.placement = held_epoch.map(|epoch| PlacementState::new(now, epoch));
+        self.limit_leadership_changed(now, held_epoch.is_some());
         if let Some(epoch) = held_epoch {
             let last_message = now;
             self.leader = Some(LeaderContact { identity: self.me.clone(), epoch, last_message });
--- a/components/decisions/src/limits/mod.rs
+++ b/components/decisions/src/limits/mod.rs
@@ -1,6 +1,24 @@
 //! Limits that upstreams set on the requests of all hosts together.
+//!
+//! An upstream in need names in its answers how many requests a second it accepts from all hosts.
+//! Hosts pass this on to the leader of their scope, which publishes it to all of them. A request is
+//! sent to a limited upstream only with a permit of the leader. Permits are granted at the rate of
+//! the limit, so their sum doesn't depend on the number of hosts. See `docs/design/limits.md`.
 
+mod allocator;
+mod bucket;
 mod notice;
+mod permits;
+mod view;
 
+pub use allocator::OWN_REPORT;
+pub use allocator::PermitAllocator;
+pub use allocator::PermitAward;
+pub use allocator::WantEntry;
+pub use bucket::PermitBucket;
 pub use notice::LimitNotice;
 pub use notice::RequestRate;
+pub use permits::HeldPermits;
+pub use permits::PERMIT_LIFETIME;
+pub use view::LimitRecord;
+pub use view::LimitView;
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -11,6 +11,7 @@
 use crate::identity::HostIdentity;
 use crate::ledger::LedgerClaim;
 use crate::ledger::LedgerVerdict;
+use crate::limits::RequestRate;
 use crate::request::LedgerKey;
 
 /// Version of the message format; a host rejects any other.
@@ -86,6 +87,103 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRow(pub String, pub u32, pub u64);
 
+/// Limit of one upstream, as the sender knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// Name of the upstream.
+    #[serde(rename = "u")]
+    pub upstream: String,
+    /// The limit; `None` if the upstream lifted it.
+    #[serde(rename = "l")]
+    pub rate: Option<RequestRate>,
+    /// Time since the upstream last said so, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
+/// Expected waits for a permit of one upstream: its name, and ascending ranks, each with the wait of
+/// a request of this rank or higher in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitRow(pub String, pub Vec<(u8, u64)>);
+
+/// Limits of upstreams, as a leader publishes them.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct LimitTable {
+    /// Whether the leader grants permits now.
+    #[serde(rename = "g")]
+    pub grants: bool,
+    /// All known limits, recently lifted ones included.
+    #[serde(rename = "r", default)]
+    pub rows: Vec<LimitRow>,
+    /// Expected waits for permits.
+    #[serde(rename = "w", default)]
+    pub waits: Vec<WaitRow>,
+}
+
+impl LimitTable {
+    /// Whether no limit is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+/// Requests of one rank that wait for permits of one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitWant {
+    /// Name of the upstream.
+    #[serde(rename = "u")]
+    pub upstream: String,
+    /// Rank of the requests; the lowest is served first.
+    #[serde(rename = "p")]
+    pub rank: u8,
+    /// Number of the requests.
+    #[serde(rename = "n")]
+    pub count: u32,
+    /// Time left to the earliest deadline of the requests, in milliseconds.
+    #[serde(rename = "d")]
+    pub slack_ms: u64,
+    /// Number of the latest permit for the upstream that the sender has received.
+    #[serde(rename = "s")]
+    pub seen: u64,
+}
+
+/// Limits that a host found, and the permits that it waits for. `wants` is always complete.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Number of the report, never used twice by a host; 0 if the host knows no limit.
+    #[serde(rename = "i")]
+    pub number: u64,
+    /// Limits that the leader may not know.
+    #[serde(rename = "r", default)]
+    pub rows: Vec<LimitRow>,
+    /// Waiting requests by upstream and rank.
+    #[serde(rename = "w", default)]
+    pub wants: Vec<PermitWant>,
+}
+
+impl LimitReport {
+    /// Whether the host knows no limit.
+    pub fn is_empty(&self) -> bool {
+        self.number == 0
+    }
+}
+
+/// Permits for requests to a limited upstream. They expire soon after the report that asked for
+/// them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitGrant {
+    /// Epoch of the leader that grants them.
+    pub epoch: u64,
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Number of the receiver's report that they are granted for.
+    pub report: u64,
+    /// Number of the last of these permits, counted for this receiver and upstream.
+    pub serial: u64,
+    /// Number of permits.
+    pub count: u32,
+}
+
 /// Notice of a leader to the hosts of its scope.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderNotice {
@@ -104,6 +202,9 @@
     /// Unique names of the assets that the leader cannot place in its scope now.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub declined: Vec<String>,
+    /// Limits of upstreams.
+    #[serde(default, skip_serializing_if = "LimitTable::is_empty")]
+    pub limits: LimitTable,
 }
 
 /// Report of a host to the leader of its scope. `demand` is always complete, never an increment.
@@ -127,6 +228,9 @@
     /// Names of the upstreams that may have failed or lost assets, as found since the last report.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<String>,
+    /// Limits of upstreams and permits that the sender waits for.
+    #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
+    pub limits: LimitReport,
 }
 
 /// Report of a leader to the leader of another scope.
@@ -149,6 +253,12 @@
     /// Unique names of the assets that the sender cannot place now.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub declined: Vec<String>,
+    /// Limits of upstreams in the sender's scope.
+    #[serde(default, skip_serializing_if = "LimitTable::is_empty")]
+    pub limits: LimitTable,
+    /// Limits of upstreams in the receiver's scope, and permits that the sender's scope waits for.
+    #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
+    pub foreign_limits: LimitReport,
 }
 
 /// Message between entry hosts.
@@ -206,6 +316,8 @@
         /// Version of the lease record, as in the request.
         version: u64,
     },
+    /// A leader grants a host permits for requests to a limited upstream.
+    Permit(PermitGrant),
     /// Requests the configuration if the receiver's is newer.
     #[serde(rename = "ConfigurationAsk")]
     ConfigurationRequest {
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -123,6 +123,8 @@
     QueueFull,
     /// The caller has reached its limit of waiting requests on this host.
     CallerLimit,
+    /// The upstreams that could serve the request have limits that are used up until the deadline.
+    UpstreamLimit,
     /// No engine has capacity for a replica within the caps on replicas.
     NoCapacity,
     /// An upstream failed, and no further attempt is made.
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -10,6 +10,7 @@
 use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::lease::LeaseRecord;
 use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::TableUpdate;
 
@@ -99,6 +100,7 @@
             update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
             registry: RegistryUpdate::default(),
             declined: Vec::new(),
+            limits: LimitTable::default(),
         }));
         while stored_lease(&leader).epoch == 1 {
             leader.advance(10);
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -21,6 +21,7 @@
 use wagtailledge_decisions::event::ListedHost;
 use wagtailledge_decisions::event::ListedState;
 use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
@@ -130,6 +131,7 @@
             update,
             registry: RegistryUpdate::default(),
             declined: Vec::new(),
+            limits: LimitTable::default(),
         };
         host.receive(PeerMessage::Leader(notice));
         host.effects.clear();
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -10,6 +10,7 @@
 use futures::future::Abortable;
 use futures::future::LocalBoxFuture;
 use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::Moment;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::request::RequestKey;
 use wagtailledge_decisions::request::RequestTicket;
@@ -50,6 +51,8 @@
     pub asset: String,
     /// Rank of the request, passed on to the upstream; lower ranks are served first.
     pub rank: u8,
+    /// When the reducer dispatched it.
+    pub dispatched: Moment,
 }
 
 impl EntryShell {
@@ -149,6 +152,7 @@
                 }
                 CallEvent::Limit(notice) => {
                     times.borrow_mut().limit = Some(notice);
+                    shell.submit(HostEvent::LimitReport(plan.upstream, plan.dispatched, notice));
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Started(head) => {
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -32,7 +32,10 @@
     pub(crate) fn execute(self: &Rc<Self>, effect: HostEffect) {
         match effect {
             HostEffect::Dispatch { request, attempt, ticket, upstream, asset, rank } => {
-                self.dispatch(DispatchPlan { request, attempt, ticket, upstream, asset, rank });
+                let dispatched = self.now();
+                let plan =
+                    DispatchPlan { request, attempt, ticket, upstream, asset, rank, dispatched };
+                self.dispatch(plan);
             }
             HostEffect::Forward { ticket, .. } => self.forward_stream(ticket),
             HostEffect::Answer(ticket, answer) => self.reply(ticket, CallerReply::Answer(*answer)),
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -47,6 +47,8 @@
         DecisionKind::Lead => "lead",
         DecisionKind::Configure => "configure",
         DecisionKind::Health => "health",
+        DecisionKind::Limit => "limit",
+        DecisionKind::Permit => "permit",
     }
 }
 
--- a/components/fuzzer/src/action.rs
+++ b/components/fuzzer/src/action.rs
@@ -68,6 +68,8 @@
     RestartEngine(u8),
     /// Marks an engine as leaving, or as live again.
     ToggleEngine(u8),
+    /// Makes an engine name a limit in its answers, or none: engine, and number that selects the limit.
+    LimitEngine(u8, u8),
     /// Slows loads down by a factor of 1 to 8: one more than the value modulo 8.
     SlowStore(u8),
     /// Sets message loss, duplication and delay.
@@ -108,6 +110,7 @@
             58 => Self::ToggleEngine(a),
             59 => Self::SlowStore(a),
             60 => Self::Network { loss: a, twice: b, delay: c },
+            61 => Self::LimitEngine(a, b),
             _ => Self::Edit(a),
         }
     }
--- a/components/fuzzer/src/world/calls.rs
+++ b/components/fuzzer/src/world/calls.rs
@@ -145,9 +145,11 @@
                     return;
                 };
                 let name = process.reducer.catalog().upstreams[upstream].name.clone();
+                let dispatched = process.clock(self.now);
                 let upstream = self.upstream_index(&name);
                 self.check_leaving(upstream);
-                let call = DispatchedCall { upstream, asset, from, request, attempt, ticket };
+                let call =
+                    DispatchedCall { upstream, asset, from, request, attempt, ticket, dispatched };
                 if self.is_upstream_cut(from.slot, upstream) {
                     self.schedule_attempt_end(
                         &call,
@@ -237,14 +239,17 @@
             self.schedule_attempt_end(&call, CALL_TIMEOUT, AttemptOutcome::Broken);
             return;
         }
+        self.record_arrival(&call);
         if let Some(engine) = self.engines.get_mut(call.upstream) {
             if !engine.is_ready(self.now, &call.asset) {
+                self.schedule_limit_notice(&call, 1_000);
                 self.schedule_attempt_end(&call, 1_000, AttemptOutcome::NotRun { misplaced: true });
                 return;
             }
             engine.count_running(&call.asset, true);
             if self.chance(20) {
                 self.engines[call.upstream].count_running(&call.asset, false);
+                self.schedule_limit_notice(&call, 1_000);
                 self.schedule_attempt_end(
                     &call,
                     1_000,
@@ -276,6 +281,7 @@
             self.schedule_attempt_end(&call, CALL_TIMEOUT, AttemptOutcome::Broken);
             return;
         }
+        self.schedule_limit_notice(&call, 1_000);
         if self.finish_stream(&call) {
             return;
         }
--- a/components/fuzzer/src/world/deliver.rs
+++ b/components/fuzzer/src/world/deliver.rs
@@ -129,6 +129,7 @@
             | ScheduledEvent::OrderAnswer(id, ..)
             | ScheduledEvent::AttemptEnd(id, ..)
             | ScheduledEvent::HostList(id, ..) => Some(*id),
+            ScheduledEvent::LimitNotice(call, _) => Some(call.from),
             ScheduledEvent::StoreCall(..)
             | ScheduledEvent::OrderArrival(..)
             | ScheduledEvent::CallArrival(_)
@@ -165,6 +166,7 @@
             ScheduledEvent::AttemptEnd(id, request, attempt, outcome) => {
                 self.submit(id.slot, HostEvent::AttemptEnded(request, attempt, outcome));
             }
+            ScheduledEvent::LimitNotice(call, notice) => self.deliver_limit(&call, notice),
             ScheduledEvent::HostList(id, requested_at, hosts) => {
                 self.submit(id.slot, HostEvent::HostListRead(requested_at, hosts));
             }
@@ -250,13 +252,13 @@
             return false;
         };
         let pair = (sender.min(slot), sender.max(slot));
-        let zones = (Self::zone_of_slot(pair.0), Self::zone_of_slot(pair.1));
+        let zones = (self.zone_of_slot(pair.0), self.zone_of_slot(pair.1));
         !self.faults.host_cuts.contains(&pair) && !self.faults.zone_cuts.contains(&zones)
     }
 
     /// Whether the network between a host and an upstream is cut.
     pub(super) fn is_upstream_cut(&self, slot: usize, upstream: usize) -> bool {
-        let (here, there) = (Self::zone_of_slot(slot), self.zone_of_upstream(upstream));
+        let (here, there) = (self.zone_of_slot(slot), self.zone_of_upstream(upstream));
         let zones = (here.min(there), here.max(there));
         self.faults.upstream_cuts.contains(&(slot, upstream))
             || self.faults.zone_cuts.contains(&zones)
--- a/components/fuzzer/src/world/engines.rs
+++ b/components/fuzzer/src/world/engines.rs
@@ -8,6 +8,8 @@
 use wagtailledge_decisions::order::ResidentAsset;
 use wagtailledge_decisions::order::ResidentState;
 
+use super::limits::EngineLimit;
+
 /// An asset that is resident in an engine, or loading.
 #[derive(Debug, Clone)]
 struct ResidentEntry {
@@ -30,6 +32,8 @@
     /// Virtual time at which the engine started to leave, in microseconds; `None` if it is not
     /// leaving.
     pub leaving_since: Option<u64>,
+    /// Its limit on requests, and the requests that reached it.
+    pub limit: EngineLimit,
     accepted_loads: BTreeMap<String, u32>,
     highest_token: u64,
     resident: BTreeMap<String, ResidentEntry>,
@@ -43,6 +47,7 @@
             zone,
             checks_tokens,
             leaving_since: None,
+            limit: EngineLimit::default(),
             accepted_loads: BTreeMap::new(),
             highest_token: 0,
             resident: BTreeMap::new(),
@@ -84,6 +89,7 @@
     pub fn restart(&mut self) {
         self.resident.clear();
         self.highest_token = 0;
+        self.limit = EngineLimit::default();
     }
 
     fn report(&self, now: u64) -> EngineReport {
--- a/components/fuzzer/src/world/event_queue.rs
+++ b/components/fuzzer/src/world/event_queue.rs
@@ -3,6 +3,7 @@
 use wagtailledge_decisions::Moment;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::ListedHost;
+use wagtailledge_decisions::limits::LimitNotice;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::order::EngineOrder;
 use wagtailledge_decisions::order::OrderKey;
@@ -38,6 +39,8 @@
     pub attempt: u32,
     /// Ticket that the frontend would give the call; it contains the number of the call.
     pub ticket: RequestTicket,
+    /// When it was dispatched, by the clock of that process.
+    pub dispatched: Moment,
 }
 
 /// A message in flight, or the end of an operation that takes time.
@@ -61,6 +64,8 @@
     CallDone(DispatchedCall),
     /// The outcome of an attempt reaches the process that made the attempt.
     AttemptEnd(ProcessId, RequestKey, u32, AttemptOutcome),
+    /// What the answer to a call says about a limit reaches the process that made the call.
+    LimitNotice(DispatchedCall, LimitNotice),
     /// The host list reaches a process that requested it at this time of its own clock.
     HostList(ProcessId, Moment, Vec<ListedHost>),
 }
--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -9,6 +9,7 @@
 use wagtailledge_decisions::configuration::shard_key;
 use wagtailledge_decisions::configuration::split_shards;
 use wagtailledge_decisions::configuration::to_items;
+use wagtailledge_decisions::limits::RequestRate;
 use wagtailledge_decisions::store::StoreOp;
 use wagtailledge_decisions::store::StoreOutcome;
 
@@ -16,7 +17,6 @@
 
 use super::event_queue::ScheduledEvent;
 use super::inventory::ASSETS;
-use super::inventory::HOSTS_PER_ZONE;
 use super::inventory::ZONES;
 use super::inventory::build_inventory;
 use super::state::FuzzWorld;
@@ -34,6 +34,10 @@
 /// Time within which the calls that check recovery must be answered, in microseconds.
 const PROBE_TIME: u64 = 26_000_000;
 
+/// Limits that engines name; `None` lifts the limit.
+const LIMITS: [Option<RequestRate>; 4] =
+    [None, Some(RequestRate(500)), Some(RequestRate(1_000)), Some(RequestRate(4_000))];
+
 /// A duration of `count` + 1 script units.
 fn script_units(count: u8) -> Duration {
     Duration::from_millis(UNIT_MILLIS * (1 + u64::from(count)))
@@ -104,7 +108,7 @@
     /// Kills, freezes, cuts off or drains the leader of a zone.
     fn disrupt_leader(&mut self, zone: usize, how: u8) {
         let leads = |slot: &usize| {
-            Self::zone_of_slot(*slot) == zone
+            self.zone_of_slot(*slot) == zone
                 && self.slots[*slot]
                     .process
                     .as_ref()
@@ -127,8 +131,8 @@
     /// Cuts the leader off from the key-value service, and from one host of its zone that can
     /// still reach that service.
     fn partition_leader(&mut self, slot: usize, choice: usize) {
-        let first = slot / HOSTS_PER_ZONE * HOSTS_PER_ZONE;
-        let other = first + choice % HOSTS_PER_ZONE;
+        let in_zone: Vec<usize> = self.slots_in(self.zone_of_slot(slot)).collect();
+        let other = in_zone[choice % in_zone.len()];
         self.faults.store_cuts.insert(slot);
         self.faults.host_cuts.insert((slot.min(other), slot.max(other)));
     }
@@ -189,6 +193,11 @@
                 let since = self.engines[index].leaving_since;
                 self.engines[index].leaving_since = since.is_none().then_some(self.now);
             }
+            FuzzAction::LimitEngine(engine, rate) => {
+                let index = usize::from(engine) % self.engines.len();
+                let rate = LIMITS[usize::from(rate) % LIMITS.len()];
+                self.engines[index].limit.set(self.now, rate);
+            }
             FuzzAction::SlowStore(factor) => self.faults.load_factor = 1 + u64::from(factor) % 8,
             FuzzAction::Network { loss, twice, delay } => {
                 self.faults.loss = u32::from(loss);
@@ -257,6 +266,7 @@
         self.faults.load_factor = 1;
         for engine in &mut self.engines {
             engine.leaving_since = None;
+            engine.limit.set(self.now, None);
         }
         self.advance(SETTLE_TIME);
         for slot in 0..self.slots.len() {
@@ -289,7 +299,10 @@
                 self.oracle.report_violation("configuration in force everywhere", &detail);
             }
         }
-        for zone in ZONES {
+        for (index, zone) in ZONES.into_iter().enumerate() {
+            if self.slots_in(index).next().is_none() {
+                continue;
+            }
             let in_zone = self.slots.iter().filter(|slot| slot.zone == zone);
             let running = in_zone.filter_map(|slot| slot.process.as_ref());
             let leads = running
--- a/components/fuzzer/src/world/mod.rs
+++ b/components/fuzzer/src/world/mod.rs
@@ -7,6 +7,7 @@
 mod event_queue;
 mod faults;
 mod inventory;
+mod limits;
 mod processes;
 mod scenario;
 mod state;
--- a/components/fuzzer/src/world/scenario.rs
+++ b/components/fuzzer/src/world/scenario.rs
@@ -1,6 +1,7 @@
 //! Controls and queries for tests and examples that build a fixed scenario.
 
-use super::inventory::HOSTS_PER_ZONE;
+use wagtailledge_decisions::limits::RequestRate;
+
 use super::inventory::ZONES;
 use super::state::FuzzWorld;
 
@@ -17,7 +18,7 @@
 
     /// Slots of each zone except the first `kept` ones.
     pub fn slots_except_first(&self, kept: usize) -> Vec<usize> {
-        (0..self.slots.len()).filter(|slot| slot % HOSTS_PER_ZONE >= kept).collect()
+        (0..ZONES.len()).flat_map(|zone| self.slots_in(zone).skip(kept)).collect()
     }
 
     /// Kills the process in a slot.
@@ -51,7 +52,7 @@
                 process.frozen_until <= self.now
                     && process.reducer.has_authority(process.clock(self.now))
             });
-            Self::zone_of_slot(*slot) == zone && leads
+            self.zone_of_slot(*slot) == zone && leads
         })
     }
 
@@ -68,6 +69,26 @@
         }
     }
 
+    /// Makes an engine name a limit in its answers; `None` lifts it.
+    pub fn set_limit(&mut self, engine: usize, rate: Option<RequestRate>) {
+        self.engines[engine].limit.set(self.now, rate);
+    }
+
+    /// Number of requests that reached an engine so far.
+    pub fn arrival_count(&self, engine: usize) -> usize {
+        self.engines[engine].limit.arrivals()
+    }
+
+    /// Index of the engine on which an asset is resident and ready; `None` if there is none.
+    pub fn engine_with(&self, asset: &str) -> Option<usize> {
+        self.engines.iter().position(|engine| engine.is_ready(self.now, asset))
+    }
+
+    /// Cuts the network between two entry hosts.
+    pub fn cut_hosts(&mut self, one: usize, other: usize) {
+        self.faults.host_cuts.insert((one.min(other), one.max(other)));
+    }
+
     /// Makes the key-value service unreachable for all hosts.
     pub fn set_store_down(&mut self) {
         self.faults.store_down = true;
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -105,6 +105,11 @@
 
     /// Like [`Self::new`], with other protocol durations.
     pub fn with_timing(seed: u64, timing: TimingRules) -> Self {
+        Self::with_hosts(seed, timing, [HOSTS_PER_ZONE; ZONES.len()])
+    }
+
+    /// Like [`Self::with_timing`], with this number of entry hosts in each zone.
+    pub fn with_hosts(seed: u64, timing: TimingRules, hosts: [usize; ZONES.len()]) -> Self {
         let mut world = Self {
             now: 1_000_000,
             steps: 0,
@@ -138,8 +143,8 @@
             let cap = world.replica_caps[&format!("{}@1", adapter.base)];
             world.replica_caps.insert(adapter.name, cap);
         }
-        for zone in ZONES {
-            for number in 0..HOSTS_PER_ZONE {
+        for (zone, count) in ZONES.into_iter().zip(hosts) {
+            for number in 0..count {
                 world.slots.push(FuzzSlot {
                     name: format!("{zone}-{number}"),
                     zone: zone.to_owned(),
@@ -156,8 +161,14 @@
         world
     }
 
-    pub(super) fn zone_of_slot(slot: usize) -> usize {
-        slot / HOSTS_PER_ZONE
+    pub(super) fn zone_of_slot(&self, slot: usize) -> usize {
+        let zone = ZONES.iter().position(|zone| *zone == self.slots[slot].zone);
+        zone.expect("slots are only in these zones")
+    }
+
+    /// Slots of a zone.
+    pub(super) fn slots_in(&self, zone: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..self.slots.len()).filter(move |slot| self.slots[*slot].zone == ZONES[zone])
     }
 
     pub(super) fn zone_of_upstream(&self, upstream: usize) -> usize {
@@ -314,11 +325,11 @@
     /// Checks that each zone has at most one leader.
     fn check_leaders(&mut self) {
         for (index, zone) in ZONES.iter().enumerate() {
-            let slots = &self.slots[index * HOSTS_PER_ZONE..(index + 1) * HOSTS_PER_ZONE];
-            let running = slots.iter().filter_map(|slot| slot.process.as_ref());
+            let running = self.slots_in(index).filter_map(|slot| self.slots[slot].process.as_ref());
             let leads =
                 |process: &&FuzzProcess| process.reducer.has_authority(process.clock(self.now));
-            self.oracle.check_leader_count(zone, running.filter(leads).count());
+            let leaders = running.filter(leads).count();
+            self.oracle.check_leader_count(zone, leaders);
         }
     }
 }
