Load elsewhere what waits for an engine beyond its limit

The planner counted a ready replica as enough, whatever its engine accepts.

A replica on an engine with an expected wait of 1.2 s or more for a permit counts as late, so that another one is loaded, and engines with a limit are chosen last. can_load_elsewhere_what_more_requests_wait_for_than_a_limit_allows failed before.

Also adds tests of the permits themselves: retries and continuations count, late, repeated and superseded grants do not, older answers lift no limit, requests whose permit comes too late are refused at once, permits go by rank and deadline, and the bucket never exceeds its rate (quickcheck).

--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -326,7 +326,7 @@
         }
         for (asset, until) in &self.retry_demand_until {
             let waiting = self.queue.first(RequestTarget::Asset(*asset)).is_some();
-            let ready = !self.view.ready(*asset).is_empty();
+            let ready = self.has_unlimited_replica(*asset);
             if let (false, false, Some(record)) = (waiting, ready, self.catalog.assets.get(*asset))
             {
                 let slack_ms = until.since(now).as_millis() as u64;
--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use slotmap::SecondaryMap;
+use wagtailledge_inventory::AssetKey;
 use wagtailledge_inventory::UpstreamKey;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -15,6 +16,7 @@
 use crate::identity::HostIdentity;
 use crate::limits::HeldPermits;
 use crate::limits::LimitNotice;
+use crate::limits::LimitPressure;
 use crate::limits::LimitRecord;
 use crate::limits::LimitView;
 use crate::limits::OWN_REPORT;
@@ -47,6 +49,8 @@
 const MAX_PERMITS: u32 = 1_000;
 /// Least time that an answer is assumed to take once its request has a permit.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Expected wait for a permit from which other engines get replicas of what is requested.
+const EXCEEDED_WAIT: Duration = Duration::from_millis(1_200);
 /// Rank at which hosts ask for permits that no request waits for.
 const SPARE_RANK: u8 = u8::MAX;
 /// Number of hosts that ask for permits that no request waits for.
@@ -63,6 +67,8 @@
 pub(super) struct HostLimits {
     pub(super) view: LimitView,
     pub(super) permits: HeldPermits,
+    /// If this process leads: limits that its placement takes into account.
+    pub(super) pressure: LimitPressure,
     /// Present while this process leads.
     allocator: Option<PermitAllocator>,
     /// If this process leads: permits that leaders of other scopes granted for their upstreams.
@@ -87,6 +93,7 @@
         Self {
             view: LimitView::default(),
             permits: HeldPermits::new(first_report),
+            pressure: LimitPressure::default(),
             allocator: None,
             foreign_permits: HeldPermits::new(first_report),
             foreign_counts: BTreeMap::new(),
@@ -234,6 +241,7 @@
         self.limit_leader_replaced();
         self.limits.foreign_permits.reset_leader();
         self.limits.foreign_counts.clear();
+        self.limits.pressure = LimitPressure::default();
         self.limits.allocator = leads.then(PermitAllocator::default);
         self.update_granted_rates(now);
     }
@@ -328,6 +336,12 @@
         shortest.is_some_and(|wait| now.after(wait + answer_time) > request.deadline)
     }
 
+    /// Whether a ready replica of the asset is on an engine without a limit.
+    pub(super) fn has_unlimited_replica(&self, asset: AssetKey) -> bool {
+        let mut ready = self.view.ready(asset).iter();
+        ready.any(|upstream| self.limits.view.rate(*upstream).is_none())
+    }
+
     /// Whether another replica of the target is being loaded.
     fn is_loading(&self, target: RequestTarget) -> bool {
         let RequestTarget::Asset(asset) = target else {
@@ -522,6 +536,10 @@
         };
         allocator.replace_wants(now, &me, OWN_REPORT, wants);
         let awards = allocator.allocate(now, &mut self.limits.foreign_permits);
+        self.update_pressure(now);
+        let Some(allocator) = &self.limits.allocator else {
+            return;
+        };
         let foreign = allocator.foreign_wants().into_iter();
         let counts: BTreeMap<_, _> = foreign.map(|(key, (count, _))| (key, count)).collect();
         if counts != self.limits.foreign_counts {
@@ -551,6 +569,24 @@
         }
     }
 
+    /// Replans if requests have begun to wait longer for permits than another replica takes to load.
+    fn update_pressure(&mut self, now: Moment) {
+        let limited = self.limits.view.limited().map(|(key, _)| key).collect();
+        let is_exceeded = |key: &UpstreamKey| {
+            let wait = self.limits.expected_wait(now, *key, SPARE_RANK - 1);
+            wait.is_some_and(|wait| wait >= EXCEEDED_WAIT)
+        };
+        let keys = self.limits.view.limited().map(|(key, _)| key);
+        let exceeded = keys.filter(is_exceeded).collect();
+        let pressure = LimitPressure { limited, exceeded };
+        if pressure != self.limits.pressure {
+            self.limits.pressure = pressure;
+            if let Some(placement) = &mut self.placement {
+                placement.schedule_plan();
+            }
+        }
+    }
+
     fn log_award(&self, award: &PermitAward, effects: &mut Vec<HostEffect>) {
         let name = self.catalog.upstreams.get(award.upstream).map(|record| record.name.clone());
         effects.push(HostEffect::LogDecision(DecisionRecord {
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -445,6 +445,7 @@
             members: &self.members,
             timing: &self.timing,
             view: &mut self.view,
+            limits: &self.limits.pressure,
             valid_until: authority.map(|(_, until)| until),
             effects,
         };
--- a/components/decisions/src/limits/mod.rs
+++ b/components/decisions/src/limits/mod.rs
@@ -17,6 +17,7 @@
 pub use allocator::WantEntry;
 pub use bucket::PermitBucket;
 pub use notice::LimitNotice;
+pub use notice::LimitPressure;
 pub use notice::RequestRate;
 pub use permits::HeldPermits;
 pub use permits::PERMIT_LIFETIME;
--- a/components/decisions/src/limits/notice.rs
+++ b/components/decisions/src/limits/notice.rs
@@ -1,9 +1,11 @@
 //! What upstreams say about how many requests they accept.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
+use wagtailledge_inventory::UpstreamKey;
 
 /// Requests a second, in thousandths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -23,3 +25,12 @@
     /// The upstream names no limit.
     Unlimited,
 }
+
+/// Upstreams whose limits the leader takes into account when it places replicas.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct LimitPressure {
+    /// Upstreams with a limit.
+    pub limited: BTreeSet<UpstreamKey>,
+    /// Those of them for which more requests wait than their limit allows.
+    pub exceeded: BTreeSet<UpstreamKey>,
+}
--- a/components/decisions/src/placement/choose.rs
+++ b/components/decisions/src/placement/choose.rs
@@ -15,6 +15,9 @@
 /// Expected duration of an unload while no request runs on the replica.
 const UNLOAD_SECONDS: f64 = 0.08;
 
+/// Cost of a replica on an engine with a limit on requests; exceeds that of most loads.
+const LIMITED_SECONDS: f64 = 10.0;
+
 /// Result of selecting an engine for an asset.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlaceChoice {
@@ -86,8 +89,12 @@
             match evaluate_engine(context, key, engine, summary, asset, load, urgent) {
                 EngineFit::Fits(victims, eviction_cost) => {
                     fitting_engines += 1;
-                    let cost =
-                        load.as_secs_f64() + eviction_cost + summary.order_wait.as_secs_f64();
+                    let limited = context.limits.limited.contains(&key);
+                    let limit_cost = if limited { LIMITED_SECONDS } else { 0.0 };
+                    let cost = load.as_secs_f64()
+                        + eviction_cost
+                        + summary.order_wait.as_secs_f64()
+                        + limit_cost;
                     if best.as_ref().is_none_or(|best| cost < best.cost) {
                         let accepts_now = summary.order_wait.is_zero();
                         best = Some(PlaceCandidate { engine: key, victims, cost, accepts_now });
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -131,17 +131,19 @@
     }
 
     /// Whether every replica of an asset is late: it is retiring or unloading, its load is expected
-    /// to end more than `LATE_AFTER` from now, or its load has an unknown end and began longer ago
-    /// than that.
+    /// to end more than `LATE_AFTER` from now, its load has an unknown end and began longer ago than
+    /// that, or more requests wait for its engine than the engine's limit allows.
     fn are_replicas_late(&self, context: &PlacementContext<'_>, asset: AssetKey) -> bool {
         let limit = context.now.after(LATE_AFTER);
-        let late = |replica: &ReplicaEntry| match replica.phase {
+        let late = |(engine, replica): (UpstreamKey, &ReplicaEntry)| match replica.phase {
+            _ if context.limits.exceeded.contains(&engine) => true,
             ReplicaPhase::Loading(Some(due)) => due > limit,
             ReplicaPhase::Loading(None) => replica.since.after(LATE_AFTER) < context.now,
             ReplicaPhase::Ordered | ReplicaPhase::Ready => false,
             ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading => true,
         };
-        self.engines.values().filter_map(|engine| engine.replicas.get(&asset)).all(late)
+        let engines = self.engines.iter();
+        engines.filter_map(|(key, engine)| Some((key, engine.replicas.get(&asset)?))).all(late)
     }
 
     fn load_desired(
@@ -213,10 +215,11 @@
             return;
         }
         let urgent = demand.waiting > 0;
+        let is_adapter = record.base.is_some();
         match self.choose_place(context, asset, urgent, 0.0) {
-            // A further load from the weight store would end even later.
+            // A further load of a model from the weight store would end even later.
             PlaceChoice::Room(engine, _) | PlaceChoice::Evict(engine, _)
-                if late && !self.has_copy(engine, asset) => {}
+                if late && !is_adapter && !self.has_copy(engine, asset) => {}
             PlaceChoice::Room(engine, others) => {
                 self.order_load(context, asset, engine, others, "demand");
             }
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -14,6 +14,7 @@
 use crate::effect::DecisionKind;
 use crate::effect::DecisionRecord;
 use crate::effect::HostEffect;
+use crate::limits::LimitPressure;
 use crate::membership::MemberDirectory;
 use crate::message::ReplicaState;
 use crate::order::EngineReport;
@@ -48,6 +49,8 @@
     /// Replica table of all scopes, as published to entry hosts; the leader writes the rows of its
     /// own scope.
     pub view: &'c mut ReplicaView,
+    /// Upstreams with limits on requests.
+    pub limits: &'c LimitPressure,
     /// When the leader's authority to send orders ends; `None` if it has none now.
     pub valid_until: Option<Moment>,
     /// Effects to be executed by the runtime, in order.
--- /dev/null
+++ b/components/decisions/tests/limits.rs
@@ -0,0 +1,290 @@
+//! Limits of upstreams: who may send a request to a limited upstream, and what happens to the others.
+
+mod support;
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use support::TestHost;
+use support::leader::TestLeader;
+use support::leader::engine_report;
+use wagtailledge_decisions::HostEffect;
+use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::Moment;
+use wagtailledge_decisions::discovery::RegistryUpdate;
+use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::event::ListedState;
+use wagtailledge_decisions::event::RegisteredUpstream;
+use wagtailledge_decisions::event::RegistryChange;
+use wagtailledge_decisions::limits::LimitNotice;
+use wagtailledge_decisions::limits::PERMIT_LIFETIME;
+use wagtailledge_decisions::limits::PermitBucket;
+use wagtailledge_decisions::limits::RequestRate;
+use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::LimitReport;
+use wagtailledge_decisions::message::LimitRow;
+use wagtailledge_decisions::message::LimitTable;
+use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::PermitGrant;
+use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::message::WaitRow;
+use wagtailledge_decisions::order::OrderKind;
+use wagtailledge_decisions::request::RefusalOutcome;
+use wagtailledge_decisions::request::RefusalReason;
+
+/// One request a second.
+const ONE: RequestRate = RequestRate(1_000);
+/// Time until the leader's deadline checks would end a request.
+const DEADLINE_MS: u64 = 9_000;
+
+/// Inventory with one pool, two models and an adapter.
+const POOL_INVENTORY: &str = r#"
+[rules]
+keep_alive = "1h"
+[[class]]
+name = "alarm"
+rank = 0
+deadline = "30s"
+[[service]]
+name = "llm"
+class = "alarm"
+[service.pool]
+memory = "80GiB"
+adapters = 2
+slots = 64
+tokens = 100000
+host_memory = "100GiB"
+disk = "100GiB"
+loads_per_minute = 120
+checks_tokens = true
+[[model]]
+name = "heat"
+size = "40GiB"
+class = "alarm"
+service = "llm"
+cap = 2
+[[adapter]]
+name = "barn-1"
+base = "heat"
+size = "1GiB"
+class = "alarm"
+"#;
+
+/// Says that the only engine of the host limits requests, in the answer to a request sent now.
+fn name_limit(host: &mut TestHost, notice: LimitNotice) {
+    let engine = host.reducer.catalog().upstream_named("llm").unwrap();
+    host.submit(HostEvent::LimitReport(engine, host.now, notice));
+}
+
+/// Latest report of the host about limits.
+fn last_report(host: &TestHost) -> LimitReport {
+    let report = |effect: &HostEffect| match effect {
+        HostEffect::Send(_, message) => match message.as_ref() {
+            PeerMessage::Demand(notice) => Some(notice.limits.clone()),
+            _ => None,
+        },
+        _ => None,
+    };
+    host.effects.iter().rev().find_map(report).expect("the host reported")
+}
+
+/// A grant of the leader of [`TestHost::new`].
+fn grant(report: u64, serial: u64) -> PeerMessage {
+    PeerMessage::Permit(PermitGrant {
+        epoch: 1,
+        upstream: "llm".to_owned(),
+        report,
+        serial,
+        count: 1,
+    })
+}
+
+/// A host that knows the limit of its only engine, with one request that waits for a permit.
+fn waiting_host() -> TestHost {
+    let mut host = TestHost::new();
+    name_limit(&mut host, LimitNotice::Limited(ONE));
+    host.request_model("heat", 1, DEADLINE_MS);
+    host.advance(10);
+    assert!(host.dispatches().is_empty(), "sent without a permit");
+    host
+}
+
+#[test]
+fn can_send_a_request_to_a_limited_engine_with_a_permit_only() {
+    let mut host = waiting_host();
+    let report = last_report(&host);
+    assert_eq!(report.rows[0].rate, Some(ONE));
+    assert_eq!((report.wants[0].count, report.wants[0].rank), (1, 0));
+    host.receive(grant(report.number, 1));
+    assert_eq!(host.dispatches().len(), 1);
+    host.request_model("heat", 1, DEADLINE_MS);
+    host.receive(grant(report.number, 1));
+    assert_eq!(host.dispatches().len(), 1, "a repeated grant counts once");
+    host.receive(grant(last_report(&host).number, 2));
+    assert_eq!(host.dispatches().len(), 2);
+}
+
+#[test]
+fn can_ignore_permits_that_come_late_or_from_a_former_leader() {
+    let mut host = waiting_host();
+    let report = last_report(&host);
+    host.advance(PERMIT_LIFETIME.as_millis() as u64);
+    host.receive(grant(report.number, 1));
+    assert!(host.dispatches().is_empty(), "the permit has expired");
+    let number = last_report(&host).number;
+    host.receive(PeerMessage::Permit(PermitGrant {
+        epoch: 0,
+        upstream: "llm".to_owned(),
+        report: number,
+        serial: 2,
+        count: 1,
+    }));
+    assert!(host.dispatches().is_empty(), "the epoch is over");
+}
+
+#[test]
+fn can_count_retries_and_continuations_towards_the_limit() {
+    let mut host = waiting_host();
+    host.receive(grant(last_report(&host).number, 1));
+    for outcome in [AttemptOutcome::Broken, AttemptOutcome::NotRun { misplaced: false }] {
+        let sent = host.dispatches().len();
+        host.end_attempt(sent - 1, outcome);
+        host.advance(1_500);
+        assert_eq!(host.dispatches().len(), sent, "sent again without a permit");
+        host.receive(grant(last_report(&host).number, sent as u64 + 1));
+        assert_eq!(host.dispatches().len(), sent + 1);
+    }
+}
+
+#[test]
+fn can_keep_a_limit_that_an_earlier_request_does_not_know() {
+    let mut host = TestHost::new();
+    let engine = host.reducer.catalog().upstream_named("llm").unwrap();
+    let dispatched = host.now;
+    host.advance(10);
+    name_limit(&mut host, LimitNotice::Limited(ONE));
+    host.advance(10);
+    host.submit(HostEvent::LimitReport(engine, dispatched, LimitNotice::Unlimited));
+    host.request_model("heat", 1, DEADLINE_MS);
+    assert!(host.dispatches().is_empty(), "the answer is older than the limit");
+    name_limit(&mut host, LimitNotice::Unlimited);
+    assert_eq!(host.dispatches().len(), 1, "the engine lifted its limit");
+}
+
+#[test]
+fn can_refuse_at_once_when_a_permit_would_come_too_late() {
+    let mut host = waiting_host();
+    let row = LimitRow { upstream: "llm".to_owned(), rate: Some(ONE), age_ms: 0 };
+    let limits = LimitTable {
+        grants: true,
+        rows: vec![row],
+        waits: vec![WaitRow("llm".to_owned(), vec![(0, 2_000), (5, 7_000)])],
+    };
+    host.receive(PeerMessage::Leader(LeaderNotice {
+        epoch: 1,
+        successors: Vec::new(),
+        revision: 1,
+        update: TableUpdate { table: 1, since: 3, version: 3, rows: Vec::new() },
+        registry: RegistryUpdate::default(),
+        declined: Vec::new(),
+        limits,
+    }));
+    assert!(host.refusals().is_empty(), "the permit comes in time");
+    let summary = host.request_model("flock", 2, 6_000);
+    let alarm = host.request_model("heat", 3, 6_000);
+    let refusal = (summary, RefusalOutcome::NotRun, RefusalReason::UpstreamLimit);
+    assert_eq!(host.refusals(), [refusal], "the alarm {alarm} waits, the summary cannot");
+    let retry_after = host.effects.iter().find_map(|effect| match effect {
+        HostEffect::Refuse(_, refusal) => Some(refusal.retry_after),
+        _ => None,
+    });
+    assert_eq!(retry_after, Some(Duration::from_secs(7)), "when the permits before it are used");
+}
+
+/// Registers an engine of the pool.
+fn engine(name: &str, address: &str) -> HostEvent {
+    HostEvent::Registry(vec![RegistryChange::Present(Box::new(RegisteredUpstream {
+        name: name.to_owned(),
+        service: "llm".to_owned(),
+        scope: "east".to_owned(),
+        zone: "east".to_owned(),
+        address: address.to_owned(),
+        slots: 64,
+        started_ms: 1,
+        state: ListedState::Live,
+        remaining: None,
+        revision: 2,
+        report: None,
+    }))])
+}
+
+#[test]
+fn can_load_elsewhere_what_more_requests_wait_for_than_a_limit_allows() {
+    let mut leader = TestLeader::with_engine(POOL_INVENTORY, "llm");
+    leader.answer(&OrderKind::Claim, engine_report(1, false, &["heat@1", "barn-1"]));
+    leader.submit(engine("llm-2", "127.0.0.1:9002"));
+    leader.advance(50);
+    leader.answer(&OrderKind::Claim, engine_report(1, false, &["heat@1"]));
+    let limited = leader.host.reducer.catalog().upstream_named("llm-1").unwrap();
+    let notice = LimitNotice::Limited(ONE);
+    leader.submit(HostEvent::LimitReport(limited, leader.host.now, notice));
+    assert_eq!(leader.wait_for_order(100), None, "no request waits");
+    for _ in 0..3 {
+        leader.request_model("barn-1");
+    }
+    let load = OrderKind::LoadAdapter {
+        asset: "barn-1".to_owned(),
+        base: "heat@1".to_owned(),
+        bytes: 1 << 30,
+    };
+    assert_eq!(leader.wait_for_order(1_000), Some(load));
+    let order = leader.next_order().unwrap();
+    let other = leader.host.reducer.catalog().upstream_named("llm-2").unwrap();
+    assert_eq!(order.upstream, other, "the engine without a limit");
+}
+
+#[test]
+fn can_grant_permits_to_other_hosts_by_rank_and_deadline() {
+    let mut leader = TestLeader::with_engine(POOL_INVENTORY, "llm");
+    leader.answer(&OrderKind::Claim, engine_report(1, false, &["heat@1"]));
+    let limited = leader.host.reducer.catalog().upstream_named("llm-1").unwrap();
+    let notice = LimitNotice::Limited(ONE);
+    leader.submit(HostEvent::LimitReport(limited, leader.host.now, notice));
+    let wants = [("east-2", 5, 2_000), ("east-3", 0, 9_000), ("east-4", 0, 6_000)];
+    let mut granted = Vec::new();
+    for step in 0..320 {
+        if step % 40 == 0 {
+            for (name, rank, slack_ms) in wants {
+                let count = u32::from(!granted.contains(&name.to_owned()));
+                leader.host.report_wants(name, "llm-1", rank, count, slack_ms);
+            }
+        }
+        let before = leader.host.effects.len();
+        leader.advance(10);
+        let award = |effect: &HostEffect| match effect {
+            HostEffect::Send(to, message) if matches!(**message, PeerMessage::Permit(_)) => {
+                Some(to.name.clone())
+            }
+            _ => None,
+        };
+        granted.extend(leader.host.effects[before..].iter().filter_map(award));
+    }
+    assert_eq!(granted, ["east-4", "east-3", "east-2"], "one each second");
+}
+
+quickcheck! {
+    fn can_keep_permits_within_the_rate(rate: u16, pauses: Vec<u16>) -> bool {
+        let rate = RequestRate(u64::from(rate) + 100);
+        let start = Moment(1_000_000);
+        let mut bucket = PermitBucket::new(start, rate);
+        let (mut now, mut taken) = (start, 0_u64);
+        for pause in pauses {
+            now = now.after(Duration::from_millis(u64::from(pause % 3_000)));
+            while bucket.try_take(now) {
+                taken += 1;
+            }
+        }
+        // In billionths of a permit.
+        taken * 1_000_000_000 <= now.since(start).as_micros() as u64 * rate.0
+    }
+}
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -20,13 +20,17 @@
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::ListedHost;
 use wagtailledge_decisions::event::ListedState;
+use wagtailledge_decisions::message::DemandNotice;
 use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::LimitReport;
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::PermitWant;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
+use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::request::CallerRequest;
 use wagtailledge_decisions::request::RefusalOutcome;
@@ -153,6 +157,34 @@
         })));
     }
 
+    /// Receives the demand notice of another host of the scope with requests that wait for permits.
+    pub fn report_wants(
+        &mut self,
+        name: &str,
+        upstream: &str,
+        rank: u8,
+        count: u32,
+        slack_ms: u64,
+    ) {
+        let upstream = upstream.to_owned();
+        let want = PermitWant { upstream, rank, count, slack_ms, seen: 0 };
+        let notice = DemandNotice {
+            epoch: self.reducer.status(self.now).epoch,
+            revision: 1,
+            ack: TableAck::default(),
+            registry_ack: TableAck::default(),
+            demand: Vec::new(),
+            used: Vec::new(),
+            suspects: Vec::new(),
+            limits: LimitReport { number: self.now.0, rows: Vec::new(), wants: vec![want] },
+        };
+        self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
+            version: MESSAGE_VERSION,
+            from: identity(name),
+            message: PeerMessage::Demand(notice),
+        })));
+    }
+
     /// Receives a host list with every upstream of the inventory.
     pub fn list_upstreams(&mut self) {
         let entry = |name: &str| ListedHost {
