--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -8,6 +8,7 @@
 mod names;
 mod peer_leaders;
 mod peer_sync;
+mod permits;
 mod refusals;
 mod registry;
 mod scope;
--- a/components/decisions/src/host/peer_leaders.rs
+++ b/components/decisions/src/host/peer_leaders.rs
@@ -10,8 +10,8 @@
 use crate::routing::TableRange;
 use crate::time::Moment;
 
-use super::limits::WANT_INTERVAL;
 use super::peer_sync::PeerSync;
+use super::permits::WANT_INTERVAL;
 use super::state::HostReducer;
 use super::usage::UsageCounts;
 use super::usage::from_usage_rows;
