--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -31,6 +31,8 @@
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::request::RefusalOutcome;
 use wagtailledge_decisions::request::RefusalReason;
+use wagtailledge_decisions::request::RequestRepeat;
+use wagtailledge_decisions::request::RequestTarget;
 
 /// One request a second.
 const ONE: RequestRate = RequestRate(1_000);
@@ -70,6 +72,27 @@
 class = "alarm"
 "#;
 
+/// Inventory with a plain service of two instances.
+const SERVICE_INVENTORY: &str = r#"
+[[class]]
+name = "alarm"
+rank = 0
+deadline = "10s"
+[[service]]
+name = "vents"
+class = "alarm"
+[[service.instance]]
+name = "vents-1"
+zone = "east"
+address = "127.0.0.1:9001"
+slots = 4
+[[service.instance]]
+name = "vents-2"
+zone = "east"
+address = "127.0.0.1:9002"
+slots = 4
+"#;
+
 /// Says that the only engine of the host limits requests, in the answer to a request sent now.
 fn name_limit(host: &mut TestHost, notice: LimitNotice) {
     let engine = host.reducer.catalog().upstream_named("llm").unwrap();
@@ -202,6 +225,26 @@
     assert_eq!(retry_after, Some(Duration::from_secs(7)), "when the permits before it are used");
 }
 
+#[test]
+fn can_send_commands_to_an_instance_of_a_plain_service_within_its_limit() {
+    let mut host = TestHost::with_inventory(SERVICE_INVENTORY);
+    let service = host.reducer.catalog().services.keys().next().unwrap();
+    let instance = host.reducer.catalog().upstream_named("vents-1").unwrap();
+    let named = LimitNotice::Limited(ONE);
+    host.submit(HostEvent::LimitReport(instance, host.now, named));
+    let target = RequestTarget::Service(service);
+    for _ in 0..6 {
+        host.submit_request(target, RequestRepeat::Unkeyed, 1, DEADLINE_MS);
+    }
+    let sent_to = |effect: &HostEffect| match effect {
+        HostEffect::Dispatch { upstream, .. } => Some(*upstream),
+        _ => None,
+    };
+    let upstreams: Vec<_> = host.effects.iter().filter_map(sent_to).collect();
+    assert_eq!(upstreams.len(), 4, "the slots of the other instance");
+    assert!(!upstreams.contains(&instance));
+}
+
 /// Registers an engine of the pool.
 fn engine(name: &str, address: &str) -> HostEvent {
     HostEvent::Registry(vec![RegistryChange::Present(Box::new(RegisteredUpstream {
--- a/components/fuzzer/tests/limits.rs
+++ b/components/fuzzer/tests/limits.rs
@@ -40,6 +40,8 @@
     world: FuzzWorld,
     engine: usize,
     calls: u64,
+    /// Number of hosts that get requests.
+    busy_hosts: usize,
 }
 
 impl LimitedWorld {
@@ -47,7 +49,7 @@
         let mut world = FuzzWorld::with_hosts(seed, timing(), [hosts, 0, 0, 0]);
         world.disable_late_orders();
         world.advance(12 * SECOND);
-        let mut limited = Self { world, engine: 0, calls: 0 };
+        let mut limited = Self { world, engine: 0, calls: 0, busy_hosts: hosts };
         limited.run(10, |_, _| ());
         limited.engine = limited.world.engine_with("m0@1").expect("the model is loaded");
         limited.world.set_limit(limited.engine, Some(LIMIT));
@@ -60,7 +62,7 @@
         for second in 0..seconds {
             disrupt(&mut self.world, second);
             for _ in 0..LOAD {
-                let slot = (self.calls * 7) as usize % self.world.slot_count();
+                let slot = (self.calls * 7) as usize % self.busy_hosts;
                 self.calls += 1;
                 self.world.request_model(slot, 0, DEADLINE);
                 self.world.advance(SECOND / LOAD);
@@ -93,6 +95,33 @@
     }
 }
 
+#[test]
+fn can_use_a_limit_fully_when_one_host_gets_all_requests() {
+    for hosts in HOST_COUNTS {
+        let mut limited = LimitedWorld::start(5, hosts);
+        limited.busy_hosts = 1;
+        limited.run(4, |_, _| ());
+        let used = limited.arrivals(|limited| limited.run(LIMITED_TIME, |_, _| ()));
+        limited.assert_kept(&format!("{hosts} hosts"));
+        let allowed = LIMITED_TIME * LIMIT.0 / 1_000;
+        let range = allowed * 9 / 10..=allowed + 2;
+        assert!(range.contains(&(used as u64)), "{hosts} hosts sent {used} of {allowed}");
+    }
+}
+
+#[test]
+fn can_keep_a_limit_below_one_request_a_second() {
+    for hosts in HOST_COUNTS {
+        let mut limited = LimitedWorld::start(6, hosts);
+        let engine = limited.engine;
+        limited.world.set_limit(engine, Some(RequestRate(200)));
+        limited.run(6, |_, _| ());
+        let used = limited.arrivals(|limited| limited.run(LIMITED_TIME, disrupt_hosts));
+        limited.assert_kept(&format!("{hosts} hosts"));
+        assert!(used > 0, "{hosts} hosts sent none");
+    }
+}
+
 /// Kills, starts, drains, freezes and cuts off hosts and their leader, a different one each second.
 fn disrupt_hosts(world: &mut FuzzWorld, second: u64) {
     let host = (second * 31) as u8;
