End a draining host only when its leader has replaced it as successor

No host led a scope for up to 1.1 times max_extension (990 s by default) after its leader was killed, if the lease record still named only a follower that had just been drained: callers of cold models were refused all that time.

Cause: a candidate waits for the release of one successor, and a drained process ended without regard to the record that named it, up to one renewal later.

A draining host tells its leader with its next report, the leader names it in no further record, and the host stays until the leader's notices don't name it, within its grace. A successor that lives answers release requests, so the takeover takes its normal time.

A follower that is killed together with its leader is not covered: then the wait is needed, as its promises may have been given.

--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -160,6 +160,7 @@
             used: to_usage_rows(&self.catalog, usage),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
+            draining: self.draining,
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
     }
@@ -261,6 +262,9 @@
             return;
         }
         let sync = self.member_syncs.entry(from.name.clone()).or_default();
+        if notice.draining {
+            self.members.record_draining(&from.name);
+        }
         sync.observe_process(&from);
         sync.revision = notice.revision;
         sync.replicas.record_ack(now, notice.ack, self.view.id());
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -259,6 +259,7 @@
                 self.draining = true;
                 self.lease.drain();
                 self.lease_tick(now, effects);
+                self.leader_sync.dirty = true;
             }
         }
     }
--- a/components/decisions/src/host/status.rs
+++ b/components/decisions/src/host/status.rs
@@ -76,10 +76,13 @@
         }
     }
 
-    /// Whether this process may terminate: no open requests, unrecorded outcomes or lease.
+    /// Whether this process may terminate: no open requests, unrecorded outcomes or lease, and its
+    /// leader does not need it as a successor.
     pub fn is_drained(&self) -> bool {
         let holds_lease = self.lease.held_epoch().is_some();
-        self.requests.is_empty() && self.ledger.unrecorded() == 0 && !holds_lease
+        let is_successor = self.leader.is_some() && self.leader_successors.contains(&self.me.name);
+        let has_duties = holds_lease || is_successor;
+        self.requests.is_empty() && self.ledger.unrecorded() == 0 && !has_duties
     }
 
     /// Whether this host can serve: it has a configuration and is not draining.
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -18,6 +18,8 @@
     identity: HostIdentity,
     /// When its last message arrived; `None` until it has sent one.
     last_contact: Option<Moment>,
+    /// Whether its latest process said that it is draining.
+    draining: bool,
     /// State in the latest host list; `None` if the list does not name the host.
     listed: Option<ListedState>,
 }
@@ -75,6 +77,7 @@
                 capacity: host.capacity,
             },
             last_contact: None,
+            draining: false,
             listed: None,
         });
         record.listed = Some(host.state);
@@ -92,11 +95,13 @@
         let record = self.members.entry(from.name.clone()).or_insert_with(|| MemberRecord {
             identity: from.clone(),
             last_contact: None,
+            draining: false,
             listed: None,
         });
         let identity_changed = record.identity != *from || record.last_contact.is_none();
         if identity_changed {
             record.identity = from.clone();
+            record.draining = false;
         }
         record.last_contact = Some(now);
         if identity_changed {
@@ -104,6 +109,13 @@
         }
     }
 
+    /// Records that a host is draining, until another process replaces it.
+    pub fn record_draining(&mut self, name: &str) {
+        if let Some(record) = self.members.get_mut(name) {
+            record.draining = true;
+        }
+    }
+
     /// Removes hosts that are not listed and sent no message after `oldest`.
     pub fn remove_unlisted_before(&mut self, oldest: Moment) {
         self.members.retain(|_, record| {
@@ -147,11 +159,12 @@
             .filter(move |identity| identity.name != me)
     }
 
-    /// Entry hosts of `scope` other than `me` that sent a message since `oldest` and are not listed
-    /// as leaving.
+    /// Entry hosts of `scope` other than `me` that sent a message since `oldest`, are not listed as
+    /// leaving and are not draining.
     pub fn reachable_in_scope(&self, scope: &str, me: &str, oldest: Moment) -> Vec<HostIdentity> {
         let reachable = |record: &&MemberRecord| {
             record.listed != Some(ListedState::Leaving)
+                && !record.draining
                 && record.identity.name != me
                 && record.last_contact.is_some_and(|at| at >= oldest)
         };
--- a/components/fuzzer/tests/scenarios.rs
+++ b/components/fuzzer/tests/scenarios.rs
@@ -3,12 +3,17 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use wagtailledge_decisions::TimingRules;
+use wagtailledge_fuzzer::action::FuzzAction;
 use wagtailledge_fuzzer::world::FuzzWorld;
 
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(30);
 /// One second, in microseconds.
 const SECOND: u64 = 1_000_000;
+/// Longest time from a leader's death to the next leader: `peer_timeout`, `lease_ttl` with its
+/// margin, and two seconds for the calls.
+const TAKEOVER_LIMIT: u64 = 11 * SECOND;
 /// Seeds that most scenarios run with.
 const SEEDS: std::ops::Range<u64> = 0..10;
 
@@ -129,6 +134,31 @@
     }
 }
 
+#[test]
+fn can_take_over_from_a_leader_whose_only_successor_was_drained() {
+    for seed in SEEDS {
+        let mut world = FuzzWorld::with_hosts(seed, TimingRules::default(), [3, 0, 0, 0]);
+        world.disable_late_orders();
+        world.kill_process(2);
+        world.advance(20 * SECOND);
+        let leader = world.leader_slot(0).unwrap();
+        let follower = 1 - leader;
+        world.start_missing();
+        world.advance(SECOND / 10);
+        world.apply_action(FuzzAction::Drain(follower as u8));
+        for _ in 0..1_000 {
+            if world.running_slots().contains(&follower) {
+                world.advance(SECOND / 100);
+            }
+        }
+        assert!(!world.running_slots().contains(&follower), "seed {seed}: still draining");
+        world.kill_process(leader);
+        world.advance(TAKEOVER_LIMIT);
+        assert_eq!(world.leader_slot(0), Some(2), "seed {seed}");
+        assert_no_violation(&world);
+    }
+}
+
 #[test]
 fn can_run_each_of_a_thousand_keyed_calls_at_most_once() {
     let mut world = FuzzWorld::new(1);
