--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -277,9 +277,9 @@
         while !self.shell.read(wagtailledge_decisions::HostReducer::is_drained) {
             if recording_started.elapsed() > RECORD_LIMIT {
                 warn!(
-                    "ending with {} outcomes unrecorded after {:?}: key-value service unreachable",
-                    self.shell.status().unrecorded,
-                    RECORD_LIMIT
+                    "ending after {RECORD_LIMIT:?} with {} outcomes unrecorded, or as a successor that \
+                     the leader needs: key-value service unreachable",
+                    self.shell.status().unrecorded
                 );
                 break;
             }
