Send nothing new to upstreams that say they leave or ask for a pause

Callers' requests reached an engine that had said in its answers that it was leaving, while its entry in the store was still ready: 53 more requests of 100 in the new test over sockets. Instances that had turned a request away with 503 and Retry-After got it again within 200 ms: 8 arrivals where 2 are right.

A leaving upstream counts as leaving for this process of it, whatever the list says, for dispatches, retries, continuations, and for the leader, whom hosts tell. If all pause beyond a request's deadline, it is refused at once with the end of the first pause, spread over a quarter of it.

Answers to orders and report requests are still not read for these headers, and there is no fuzz action for them yet.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -157,6 +157,7 @@
         ],
         suspects: Vec::new(),
         limits: LimitReport::default(),
+        leaving: Vec::new(),
         draining: false,
     })
 }
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -154,6 +154,10 @@
     /// An answer of an upstream says whether it limits requests; the moment is when the request was
     /// dispatched.
     LimitReport(UpstreamKey, Moment, LimitNotice),
+    /// An answer of an upstream says that it is leaving.
+    LeavingReport(UpstreamKey),
+    /// An upstream that turned a request away wants no other from this host for this time.
+    PauseReport(UpstreamKey, Duration),
     /// The platform delivered its complete configuration, with its revision.
     Inventory(u64, ItemMap),
     /// The key-value service's watch delivered the lease record of this host's scope: its version
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -1,5 +1,7 @@
 //! Outcomes of attempts and their consequences for the request.
 
+use std::time::Duration;
+
 use wagtailledge_inventory::UpstreamKey;
 
 use crate::admission::RequestStage;
@@ -84,6 +86,35 @@
         }));
     }
 
+    /// Sends an upstream that said that it is leaving nothing new, and loads its replicas elsewhere.
+    pub(super) fn upstream_leaves(
+        &mut self,
+        now: Moment,
+        upstream: UpstreamKey,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        if !self.catalog.upstreams.contains_key(upstream) || !self.members.record_leaving(upstream)
+        {
+            return;
+        }
+        self.log_health(upstream, "leaving", "said in an answer", effects);
+        self.leader_sync.dirty = true;
+        self.inventory_changed(now, effects);
+    }
+
+    /// Sends an upstream that asked for a pause nothing new until its end.
+    pub(super) fn upstream_pauses(
+        &mut self,
+        now: Moment,
+        upstream: UpstreamKey,
+        pause: Duration,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        self.tracker.record_pause(now, upstream, pause);
+        let choice = format!("paused for {} ms", pause.as_millis());
+        self.log_health(upstream, &choice, "asked in an answer", effects);
+    }
+
     /// Handles the end of an attempt; ignores all but the latest attempt of a request.
     pub(super) fn attempt_ended(
         &mut self,
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -130,6 +130,12 @@
         if self.is_permit_late(now, key) {
             return Some(RefusalReason::UpstreamLimit);
         }
+        let target = request.target;
+        if now.after(self.shortest_pause(now, target)) >= request.deadline
+            && !self.is_loading(target)
+        {
+            return Some(RefusalReason::UpstreamsPaused);
+        }
         let RequestTarget::Asset(asset) = request.target else {
             return None;
         };
--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -304,7 +304,7 @@
     }
 
     /// Whether another replica of the target is being loaded.
-    fn is_loading(&self, target: RequestTarget) -> bool {
+    pub(super) fn is_loading(&self, target: RequestTarget) -> bool {
         let RequestTarget::Asset(asset) = target else {
             return false;
         };
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -17,6 +17,9 @@
 /// Retry delay while this host shuts down: other hosts can serve the caller at once.
 const RETRY_AFTER_SHUTDOWN: Duration = Duration::from_millis(50);
 
+/// Steps of up to a quarter of a pause by which callers return later.
+const RETRY_SPREAD_STEPS: u64 = 1_000;
+
 impl HostReducer {
     /// Shortest time in which a replica of an asset that is not resident anywhere can be ready.
     pub(super) fn min_load_time(&self, asset: AssetKey) -> Duration {
@@ -41,6 +44,12 @@
                 self.longest_permit_wait(now, target).max(MIN_RETRY_AFTER)
             }
             (RefusalReason::HostEnds, _) => RETRY_AFTER_SHUTDOWN,
+            (RefusalReason::UpstreamsPaused, _) => {
+                let pause = self.shortest_pause(now, target).max(MIN_RETRY_AFTER);
+                // The callers return at different times.
+                let spread = now.0 % RETRY_SPREAD_STEPS;
+                pause + pause * spread as u32 / (RETRY_SPREAD_STEPS * 4) as u32
+            }
             (RefusalReason::TooLate | RefusalReason::NoCapacity, RequestTarget::Asset(asset))
                 if self.catalog.assets.contains_key(asset) =>
             {
@@ -50,6 +59,13 @@
         }
     }
 
+    /// Time until the first upstream that could serve requests for `target` ends its pause.
+    pub(super) fn shortest_pause(&self, now: Moment, target: RequestTarget) -> Duration {
+        let open = self.candidates(now, target).open;
+        let pauses = open.iter().map(|candidate| self.tracker.pause_left(now, candidate.key));
+        pauses.min().unwrap_or_default()
+    }
+
     /// Refusal with the retry delay for its target and reason.
     pub(super) fn refusal(
         &self,
@@ -70,6 +86,7 @@
         RefusalReason::QueueFull => "queue is full",
         RefusalReason::CallerLimit => "too many requests of this caller",
         RefusalReason::UpstreamLimit => "limits of its upstreams are used up",
+        RefusalReason::UpstreamsPaused => "its upstreams asked for pauses",
         RefusalReason::NoCapacity => "no engine has room",
         RefusalReason::UpstreamFailed => "upstream failed",
         RefusalReason::LedgerAway => "ledger could not be reached",
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -160,6 +160,7 @@
             used: to_usage_rows(&self.catalog, usage),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
+            leaving: self.members.leaving().filter_map(name_of).collect(),
             draining: self.draining,
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
@@ -261,6 +262,11 @@
         if from.scope != self.me.scope || self.placement.is_none() {
             return;
         }
+        for name in &notice.leaving {
+            if let Some(upstream) = self.catalog.upstream_named(name) {
+                self.upstream_leaves(now, upstream, effects);
+            }
+        }
         let sync = self.member_syncs.entry(from.name.clone()).or_default();
         if notice.draining {
             self.members.record_draining(&from.name);
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -238,6 +238,10 @@
             HostEvent::LimitReport(upstream, dispatched, notice) => {
                 self.limit_observed(now, upstream, dispatched, notice, effects);
             }
+            HostEvent::LeavingReport(upstream) => self.upstream_leaves(now, upstream, effects),
+            HostEvent::PauseReport(upstream, pause) => {
+                self.upstream_pauses(now, upstream, pause, effects);
+            }
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, effects);
@@ -311,6 +315,8 @@
             self.members.remove_unlisted_before(now.before(self.timing.peer_timeout * 8));
             self.retry_demand_until.retain(|_, until| *until > now);
             self.replica_backoffs.sweep(now);
+            let upstreams = &self.catalog.upstreams;
+            self.members.retain_leaving(|key| upstreams.contains_key(key));
         }
     }
 
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -34,6 +34,9 @@
     is_listed: bool,
     /// State of each upstream by name; `None` until upstreams were first listed or reported.
     upstreams: Option<BTreeMap<String, ListedState>>,
+    /// Upstreams that said themselves that they are leaving, to any host. A key is never used for
+    /// another process of an upstream.
+    leaving: BTreeSet<UpstreamKey>,
 }
 
 impl MemberDirectory {
@@ -206,9 +209,25 @@
         upstream: UpstreamKey,
     ) -> Option<ListedState> {
         let record = catalog.upstreams.get(upstream)?;
-        match &self.upstreams {
-            Some(upstreams) => upstreams.get(&record.name).copied(),
-            None => Some(ListedState::Live),
-        }
+        let listed = match &self.upstreams {
+            Some(upstreams) => upstreams.get(&record.name).copied()?,
+            None => ListedState::Live,
+        };
+        Some(if self.leaving.contains(&upstream) { ListedState::Leaving } else { listed })
+    }
+
+    /// Records that an upstream said itself that it is leaving. Returns whether this was unknown.
+    pub fn record_leaving(&mut self, upstream: UpstreamKey) -> bool {
+        self.leaving.insert(upstream)
+    }
+
+    /// Upstreams that said themselves that they are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
+        self.leaving.iter().copied()
+    }
+
+    /// Forgets the upstreams for which `exists` is false.
+    pub fn retain_leaving(&mut self, exists: impl Fn(UpstreamKey) -> bool) {
+        self.leaving.retain(|key| exists(*key));
     }
 }
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -234,6 +234,9 @@
     /// Limits of upstreams and permits that the sender waits for.
     #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
     pub limits: LimitReport,
+    /// Names of the upstreams that said themselves that they are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<String>,
     /// Whether the sender is draining and must not be named as a successor any more.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub draining: bool,
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -125,6 +125,8 @@
     CallerLimit,
     /// The upstreams that could serve the request have limits that are used up until the deadline.
     UpstreamLimit,
+    /// The upstreams that could serve the request asked for pauses beyond the deadline.
+    UpstreamsPaused,
     /// No engine has capacity for a replica within the caps on replicas.
     NoCapacity,
     /// An upstream failed, and no further attempt is made.
--- a/components/decisions/src/routing/tracker.rs
+++ b/components/decisions/src/routing/tracker.rs
@@ -43,6 +43,8 @@
     failures: u32,
     /// The upstream gets no new request before this moment.
     blocked_until: Moment,
+    /// End of the pause that the upstream asked for.
+    paused_until: Moment,
     /// Whether the upstream was ejected and has not answered since; it gets one request at a time.
     probing: bool,
 }
@@ -75,13 +77,13 @@
     }
 
     /// Whether the upstream may get another request of this host: it is not blocked after a failure
-    /// or a busy reply, and this host has a free slot there.
+    /// or a busy reply, has not asked for a pause, and this host has a free slot there.
     pub fn is_open(&self, now: Moment, candidate: &UpstreamCandidate) -> bool {
         let Some(status) = self.statuses.get(candidate.key) else {
             return true;
         };
         let slots = if status.probing { 1 } else { candidate.slots };
-        status.blocked_until <= now && status.inflight < slots
+        status.blocked_until <= now && status.paused_until <= now && status.inflight < slots
     }
 
     /// Chooses one of the open upstreams. Requests with the same `affinity` go to the same upstream
@@ -181,6 +183,18 @@
         }
     }
 
+    /// Records that the upstream wants no request for `pause`.
+    pub fn record_pause(&mut self, now: Moment, key: UpstreamKey, pause: Duration) {
+        if let Some(status) = self.status(key) {
+            status.paused_until = status.paused_until.max(now.after(pause));
+        }
+    }
+
+    /// Time until the end of the pause that the upstream asked for; zero if there is none.
+    pub fn pause_left(&self, now: Moment, key: UpstreamKey) -> Duration {
+        self.statuses.get(key).map_or(Duration::ZERO, |status| status.paused_until.since(now))
+    }
+
     /// Records a failure. Returns whether it ejects the upstream.
     pub fn record_failure(&mut self, now: Moment, key: UpstreamKey) -> bool {
         let Some(status) = self.status(key) else {
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -178,6 +178,7 @@
             used: Vec::new(),
             suspects: Vec::new(),
             limits: LimitReport { number: self.now.0, rows: Vec::new(), wants: vec![want] },
+            leaving: Vec::new(),
             draining: false,
         };
         self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -155,6 +155,14 @@
                     shell.submit(HostEvent::LimitReport(plan.upstream, plan.dispatched, notice));
                     futures::future::ready(true).boxed_local()
                 }
+                CallEvent::Leaving => {
+                    shell.submit(HostEvent::LeavingReport(plan.upstream));
+                    futures::future::ready(true).boxed_local()
+                }
+                CallEvent::Pause(pause) => {
+                    shell.submit(HostEvent::PauseReport(plan.upstream, pause));
+                    futures::future::ready(true).boxed_local()
+                }
                 CallEvent::Started(head) => {
                     times.borrow_mut().status = head.status;
                     shell.begin_stream(plan.ticket, head.status, head.headers);
--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -86,6 +86,8 @@
     arrivals: Vec<Instant>,
     /// Limit that answers name, in requests a second; no limit if empty.
     limit: String,
+    /// Whether answers say that the engine is leaving.
+    leaving: bool,
 }
 
 /// A model engine that can simulate faults.
@@ -160,6 +162,11 @@
         limit.clone_into(&mut self.lock().limit);
     }
 
+    /// Says in all later answers that the engine is leaving. Its entry in the store stays as it is.
+    pub fn say_leaving(&self) {
+        self.lock().leaving = true;
+    }
+
     /// Executes the next `count` orders without answering them.
     pub fn lose_next_order_answers(&self, count: u32) {
         self.lock().order_answers_to_lose = count;
@@ -185,13 +192,15 @@
         let mut state = self.lock();
         state.arrivals.push(Instant::now());
         let limit = (!state.limit.is_empty()).then(|| ("server-limit", state.limit.clone()));
+        let leaving = state.leaving.then(|| ("server-leaving", "1".to_owned()));
+        let statements = limit.into_iter().chain(leaving);
         let target = request.header("x-model");
         let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
         let adapters = state.resident.get(model);
         let resident = adapters.is_some_and(|names| adapter.is_empty() || names.contains(adapter));
         if !resident || request.header("x-expect-instance") != self.name {
             let mut headers = vec![("x-instance-id", self.name.clone())];
-            headers.extend(limit);
+            headers.extend(statements);
             return StandInAnswer::Reply(421, headers, Bytes::new());
         }
         let after = request.header("last-event-id").parse().ok();
@@ -204,7 +213,7 @@
             ("x-server-stamp", self.name.clone()),
             ("x-server-load", "1,0,64".to_owned()),
         ];
-        response_headers.extend(limit);
+        response_headers.extend(statements);
         let events = event_stream(&id, after.unwrap_or(0), end, state.numbering);
         match end {
             StreamEnd::Close | StreamEnd::CloseInsideEvent => {
--- a/components/standins/src/fleet/service.rs
+++ b/components/standins/src/fleet/service.rs
@@ -29,6 +29,10 @@
 struct ServiceState {
     /// Ids of the requests that ran, in order.
     runs: Vec<String>,
+    /// Number of requests that arrived.
+    arrivals: usize,
+    /// Value of `retry-after` in refusals; no header if empty.
+    retry_after: String,
     behavior: ServiceBehavior,
 }
 
@@ -60,6 +64,17 @@
         self.state.lock().expect("no thread panics while holding the lock").runs.clone()
     }
 
+    /// Number of requests that arrived, those that did not run included.
+    pub fn arrivals(&self) -> usize {
+        self.state.lock().expect("no thread panics while holding the lock").arrivals
+    }
+
+    /// Sets the value of `retry-after` in later refusals; no header if empty.
+    pub fn set_retry_after(&self, seconds: &str) {
+        let mut state = self.state.lock().expect("no thread panics while holding the lock");
+        seconds.clone_into(&mut state.retry_after);
+    }
+
     /// Changes how later requests are handled.
     pub fn set_behavior(&self, behavior: ServiceBehavior) {
         self.state.lock().expect("no thread panics while holding the lock").behavior = behavior;
@@ -74,9 +89,13 @@
                 return StandInAnswer::Reply(421, Vec::new(), bytes::Bytes::new());
             }
             let mut state = self.state.lock().expect("no thread panics while holding the lock");
+            state.arrivals += 1;
             let mut headers = vec![("x-request-id", id.clone())];
             if state.behavior == ServiceBehavior::Overloaded {
                 headers.push(("x-not-executed", "1".to_owned()));
+                if !state.retry_after.is_empty() {
+                    headers.push(("retry-after", state.retry_after.clone()));
+                }
                 return StandInAnswer::Reply(503, headers, bytes::Bytes::new());
             }
             state.runs.push(id);
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -69,6 +69,10 @@
     Load(UpstreamLoad),
     /// The head of the answer says whether the upstream limits requests.
     Limit(LimitNotice),
+    /// The upstream says that it is leaving.
+    Leaving,
+    /// The upstream wants no request from this host for this time.
+    Pause(Duration),
     /// A streamed answer begins.
     Started(AnswerHead),
     /// Part of a streamed answer, and the id of the last complete event so far, if known.
--- a/components/upstreams/src/dialect.rs
+++ b/components/upstreams/src/dialect.rs
@@ -51,6 +51,10 @@
     /// What the head says about the upstream's limit; `None` if the dialect has no limits, or the
     /// head is unreadable or of another request.
     pub limit: Option<LimitNotice>,
+    /// Whether the upstream says that it is leaving.
+    pub leaving: bool,
+    /// Time for which the upstream wants no request from this host; `None` if it does not say.
+    pub pause: Option<Duration>,
 }
 
 /// HTTP protocol of one kind of upstream.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -91,6 +91,12 @@
         if let Some(notice) = check.limit {
             on_event(CallEvent::Limit(notice)).await;
         }
+        if check.leaving {
+            on_event(CallEvent::Leaving).await;
+        }
+        if let Some(pause) = check.pause {
+            on_event(CallEvent::Pause(pause)).await;
+        }
         match check.verdict {
             HeadVerdict::Answer => {}
             HeadVerdict::Refused => return AttemptOutcome::NotRun { misplaced: false },
--- a/components/upstreams/src/openai.rs
+++ b/components/upstreams/src/openai.rs
@@ -75,7 +75,7 @@
             StatusCode::SERVICE_UNAVAILABLE if is_engine => HeadVerdict::Refused,
             _ => HeadVerdict::Answer,
         };
-        HeadCheck { verdict, load: None, limit: None }
+        HeadCheck { verdict, load: None, limit: None, leaving: false, pause: None }
     }
 
     fn is_complete(&self, tail: &[u8]) -> bool {
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -681,3 +681,66 @@
         }
     });
 }
+
+#[test]
+fn can_send_nothing_new_to_an_engine_that_says_it_leaves() {
+    run(async {
+        let stack = ready_stack().await;
+        let leaving = &stack.engines[0];
+        leaving.say_leaving();
+        for host in 0..stack.hosts.len() {
+            for number in 0..MAX_ASKS {
+                let before = leaving.arrivals().len();
+                ask(&stack, host, "m0", &format!("told-{host}-{number}")).await;
+                if leaving.arrivals().len() > before {
+                    break;
+                }
+            }
+        }
+        let before = leaving.arrivals().len();
+        for number in 0..MAX_ASKS {
+            let host = number % stack.hosts.len();
+            let answer = ask(&stack, host, "m0", &format!("after-{number}")).await;
+            assert_eq!(answer.status, 200, "{}", answer.head);
+        }
+        assert_eq!(leaving.arrivals().len(), before);
+    });
+}
+
+#[test]
+fn can_send_nothing_to_a_service_until_its_pause_is_over() {
+    run(async {
+        let stack = ready_stack().await;
+        for service in &stack.services {
+            service.set_behavior(ServiceBehavior::Overloaded);
+            service.set_retry_after("1.5");
+        }
+        let arrivals = || stack.services.iter().map(FleetService::arrivals).sum::<usize>();
+        let address = stack.hosts[0].caller_address;
+        let empty = "Content-Length: 0\r\n";
+        let paused_at = Instant::now();
+        let first =
+            actix_rt::spawn(
+                async move { send(address, "POST", "/act/1", "paused-1", empty).await },
+            );
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        let before = arrivals();
+        assert_eq!(before, stack.services.len(), "each instance turned the request away once");
+        let hasty = "X-Deadline-Ms: 900\r\nContent-Length: 0\r\n";
+        let text = format!(
+            "POST /act/1 HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: paused-2\r\n\
+             Connection: close\r\n{hasty}\r\n"
+        );
+        let refused = exchange(address, text.as_bytes()).await;
+        assert_eq!(refused.status, 503, "{}", refused.head);
+        let seconds: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+        assert!((0.5..=3.0).contains(&seconds), "{seconds} s");
+        assert!(paused_at.elapsed() < Duration::from_millis(900), "refused late");
+        assert_eq!(arrivals(), before, "nothing was sent during the pause");
+        for service in &stack.services {
+            service.set_behavior(ServiceBehavior::Echo);
+        }
+        assert_eq!(first.await.unwrap().status, 200, "served after the pause");
+        assert!(paused_at.elapsed() >= Duration::from_millis(1_500));
+    });
+}
