Drop the expected waits of upstreams that lifted their limit

A host kept them, so that requests could be refused by waits of an earlier limit when an upstream named one again, until the leader's next notice. Found by reading; no caller was seen to be refused for it. The tests of decisions passed.

--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -276,6 +276,8 @@
             }
         }
         self.merge_limits(now, &table.rows, effects);
+        let view = &self.limits.view;
+        self.limits.waits.retain(|key, _| view.rate(key).is_some());
         self.refuse_without_permits(now, effects);
     }
 
