--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -153,7 +153,7 @@
     LoadReport(UpstreamKey, UpstreamLoad),
     /// An answer of an upstream says whether it limits requests; the moment is when the request was
     /// dispatched.
-    LimitReport(UpstreamKey, Moment, LimitNotice),
+    LimitStatement(UpstreamKey, Moment, LimitNotice),
     /// An answer of an upstream says that it is leaving.
     LeavingReport(UpstreamKey),
     /// An upstream that turned a request away wants no other from this host for this time.
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -235,7 +235,7 @@
             HostEvent::LoadReport(upstream, load) => {
                 self.tracker.record_load(now, upstream, load.running + load.waiting);
             }
-            HostEvent::LimitReport(upstream, dispatched, notice) => {
+            HostEvent::LimitStatement(upstream, dispatched, notice) => {
                 self.limit_observed(now, upstream, dispatched, notice, effects);
             }
             HostEvent::LeavingReport(upstream) => self.upstream_leaves(now, upstream, effects),
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -96,7 +96,7 @@
 /// Says that the only engine of the host limits requests, in the answer to a request sent now.
 fn name_limit(host: &mut TestHost, notice: LimitNotice) {
     let engine = host.reducer.catalog().upstream_named("llm").unwrap();
-    host.submit(HostEvent::LimitReport(engine, host.now, notice));
+    host.submit(HostEvent::LimitStatement(engine, host.now, notice));
 }
 
 /// Latest report of the host about limits.
@@ -187,7 +187,7 @@
     host.advance(10);
     name_limit(&mut host, LimitNotice::Limited(ONE));
     host.advance(10);
-    host.submit(HostEvent::LimitReport(engine, dispatched, LimitNotice::Unlimited));
+    host.submit(HostEvent::LimitStatement(engine, dispatched, LimitNotice::Unlimited));
     host.request_model("heat", 1, DEADLINE_MS);
     assert!(host.dispatches().is_empty(), "the answer is older than the limit");
     name_limit(&mut host, LimitNotice::Unlimited);
@@ -231,7 +231,7 @@
     let service = host.reducer.catalog().services.keys().next().unwrap();
     let instance = host.reducer.catalog().upstream_named("vents-1").unwrap();
     let named = LimitNotice::Limited(ONE);
-    host.submit(HostEvent::LimitReport(instance, host.now, named));
+    host.submit(HostEvent::LimitStatement(instance, host.now, named));
     let target = RequestTarget::Service(service);
     for _ in 0..6 {
         host.submit_request(target, RequestRepeat::Unkeyed, 1, DEADLINE_MS);
@@ -271,7 +271,7 @@
     leader.answer(&OrderKind::Claim, engine_report(1, false, &["heat@1"]));
     let limited = leader.host.reducer.catalog().upstream_named("llm-1").unwrap();
     let notice = LimitNotice::Limited(ONE);
-    leader.submit(HostEvent::LimitReport(limited, leader.host.now, notice));
+    leader.submit(HostEvent::LimitStatement(limited, leader.host.now, notice));
     assert_eq!(leader.wait_for_order(100), None, "no request waits");
     for _ in 0..3 {
         leader.request_model("barn-1");
@@ -293,7 +293,7 @@
     leader.answer(&OrderKind::Claim, engine_report(1, false, &["heat@1"]));
     let limited = leader.host.reducer.catalog().upstream_named("llm-1").unwrap();
     let notice = LimitNotice::Limited(ONE);
-    leader.submit(HostEvent::LimitReport(limited, leader.host.now, notice));
+    leader.submit(HostEvent::LimitStatement(limited, leader.host.now, notice));
     let wants = [("east-2", 5, 2_000), ("east-3", 0, 9_000), ("east-4", 0, 6_000)];
     let mut granted = Vec::new();
     for step in 0..320 {
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -152,7 +152,7 @@
                 }
                 CallEvent::Limit(notice) => {
                     times.borrow_mut().limit = Some(notice);
-                    shell.submit(HostEvent::LimitReport(plan.upstream, plan.dispatched, notice));
+                    shell.submit(HostEvent::LimitStatement(plan.upstream, plan.dispatched, notice));
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Leaving => {
--- a/components/fuzzer/src/world/limits.rs
+++ b/components/fuzzer/src/world/limits.rs
@@ -104,7 +104,7 @@
         let catalog = process.map(|process| process.reducer.catalog());
         let upstream = catalog.and_then(|catalog| catalog.upstream_named(&engine.name));
         if let Some(upstream) = upstream {
-            let event = HostEvent::LimitReport(upstream, call.dispatched, notice);
+            let event = HostEvent::LimitStatement(upstream, call.dispatched, notice);
             self.submit(call.from.slot, event);
         }
     }
