--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -101,8 +101,8 @@
     pub age_ms: u64,
 }
 
-/// Expected waits for a permit of one upstream: its name, and ascending ranks, each with the wait of
-/// a request of this rank or higher in milliseconds.
+/// Expected waits for a permit of one upstream: its name, and ascending ranks. Each rank has the
+/// wait, in milliseconds, of requests of this rank and of those below the next rank listed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitRow(pub String, pub Vec<(u8, u64)>);
 
