Log what answers say about their upstream, and changes of entries

`attempt` and `order` lines have `leaving`, `asked_pause_ms` and `limit`; the new decision `register` names the process of an entry that appears, changes its state or process, or is removed, at most 16 lines for one batch of changes. What orders and reports say is logged only; decisions are as before.

--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -34,6 +34,9 @@
     Limit,
     /// A host is granted permits for requests to a limited upstream.
     Permit,
+    /// The entry of an upstream in the platform's registry appears, changes its process or state, or
+    /// is removed.
+    Register,
 }
 
 /// Log record of one decision.
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -107,6 +107,19 @@
     pub waiting: u32,
 }
 
+/// What an answer says about the upstream that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct UpstreamStatement {
+    /// Its load; `None` if the answer does not name it.
+    pub load: Option<UpstreamLoad>,
+    /// Whether it limits requests; `None` if its protocol has no limits, or the limit is unreadable.
+    pub limit: Option<LimitNotice>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Time for which it wants no request from this host; `None` if the answer does not say.
+    pub pause: Option<Duration>,
+}
+
 /// How an attempt to run a request on an upstream ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -5,7 +5,10 @@
 use wagtailledge_inventory::catalog::UpstreamKind;
 
 use crate::discovery::RegistryUpdate;
+use crate::effect::DecisionKind;
+use crate::effect::DecisionRecord;
 use crate::effect::HostEffect;
+use crate::event::ListedState;
 use crate::event::RegisteredUpstream;
 use crate::event::RegistryChange;
 use crate::message::ReplicaState;
@@ -14,6 +17,42 @@
 
 use super::state::HostReducer;
 
+/// Most changed entries that are logged one by one when many change at once.
+const MAX_LOGGED_ENTRIES: usize = 16;
+
+/// What a new entry says that the upstream's last known one did not; `None` if nothing of note.
+fn describe_entry(
+    old: Option<&RegisteredUpstream>,
+    new: &RegisteredUpstream,
+) -> Option<&'static str> {
+    match old {
+        None => Some("entry appeared"),
+        Some(old) if old.started_ms != new.started_ms => Some("process restarted"),
+        Some(old) if old.state != new.state && new.state == ListedState::Leaving => {
+            Some("entry says that it is leaving")
+        }
+        Some(old) if old.state != new.state => Some("entry says that it stays"),
+        Some(_) => None,
+    }
+}
+
+/// Logs changes of entries: the name of each upstream, its process and what changed.
+fn log_entries(changes: Vec<(String, String, &'static str)>, effects: &mut Vec<HostEffect>) {
+    let kind = DecisionKind::Register;
+    let log = |subject, choice, reason, alternatives| {
+        let ticket = None;
+        let record = DecisionRecord { kind, ticket, subject, choice, reason, alternatives };
+        HostEffect::LogDecision(record)
+    };
+    let omitted = changes.len().saturating_sub(MAX_LOGGED_ENTRIES);
+    let shown = changes.into_iter().take(MAX_LOGGED_ENTRIES);
+    effects.extend(shown.map(|(subject, choice, reason)| log(subject, choice, reason, 0)));
+    if omitted > 0 {
+        let choice = format!("{omitted} more entries");
+        effects.push(log(String::new(), choice, "too many to log", omitted));
+    }
+}
+
 impl HostReducer {
     /// Applies changes among the registered upstreams to the catalog, view and placement.
     pub(super) fn apply_registry_changes(
@@ -23,6 +62,7 @@
         effects: &mut Vec<HostEffect>,
     ) {
         self.dispatch_not_before = Moment::default();
+        let mut logged = Vec::new();
         for change in changes {
             let old = self.registered_upstreams.get(change.name()).cloned();
             if !self.registered_upstreams.put(&change) {
@@ -31,15 +71,24 @@
             self.notices_due = true;
             match change {
                 RegistryChange::Present(upstream) => {
+                    if let Some(reason) = describe_entry(old.as_ref(), &upstream) {
+                        let choice = format!("process {}", upstream.started_ms);
+                        logged.push((upstream.name.clone(), choice, reason));
+                    }
                     // The upstream restarted: discards the state of its earlier process.
                     if old.is_some_and(|old| old.started_ms != upstream.started_ms) {
                         self.unregister_upstream(&upstream.name);
                     }
                     self.register_upstream(now, &upstream, effects);
                 }
-                RegistryChange::Absent(name, _) => self.unregister_upstream(&name),
+                RegistryChange::Absent(name, _) => {
+                    self.unregister_upstream(&name);
+                    let choice = old.map(|old| format!("process {}", old.started_ms));
+                    logged.push((name, choice.unwrap_or_default(), "entry removed"));
+                }
             }
         }
+        log_entries(logged, effects);
         self.inventory_changed(now, effects);
         self.dispatch_all_waiting(now, effects);
     }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -12,6 +12,7 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::Moment;
 use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::event::UpstreamStatement;
 use wagtailledge_decisions::request::RequestKey;
 use wagtailledge_decisions::request::RequestTicket;
 use wagtailledge_frontend::CallTarget;
@@ -146,21 +147,9 @@
         let shell = Rc::clone(&self);
         let mut on_event = move |event: CallEvent| -> LocalBoxFuture<'static, bool> {
             match event {
-                CallEvent::Load(load) => {
-                    shell.submit(HostEvent::LoadReport(plan.upstream, load));
-                    futures::future::ready(true).boxed_local()
-                }
-                CallEvent::Limit(notice) => {
-                    times.borrow_mut().limit = Some(notice);
-                    shell.submit(HostEvent::LimitStatement(plan.upstream, plan.dispatched, notice));
-                    futures::future::ready(true).boxed_local()
-                }
-                CallEvent::Leaving => {
-                    shell.submit(HostEvent::LeavingReport(plan.upstream));
-                    futures::future::ready(true).boxed_local()
-                }
-                CallEvent::Pause(pause) => {
-                    shell.submit(HostEvent::PauseReport(plan.upstream, pause));
+                CallEvent::Statement(statement) => {
+                    times.borrow_mut().statement = statement;
+                    shell.submit_statement(plan.upstream, plan.dispatched, &statement);
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Started(head) => {
@@ -197,6 +186,23 @@
         upstreams.call(call, &mut on_event).await
     }
 
+    /// Submits what the answer to a request, dispatched at `dispatched`, says about its upstream.
+    pub(crate) fn submit_statement(
+        self: &Rc<Self>,
+        upstream: UpstreamKey,
+        dispatched: Moment,
+        statement: &UpstreamStatement,
+    ) {
+        let load = statement.load.map(|load| HostEvent::LoadReport(upstream, load));
+        let limit = statement.limit;
+        let limit = limit.map(|notice| HostEvent::LimitStatement(upstream, dispatched, notice));
+        let leaving = statement.leaving.then_some(HostEvent::LeavingReport(upstream));
+        let pause = statement.pause.map(|pause| HostEvent::PauseReport(upstream, pause));
+        for event in [load, limit, leaving, pause].into_iter().flatten() {
+            self.submit(event);
+        }
+    }
+
     /// Creates the channel to the caller for a stream, unless an earlier attempt did.
     fn begin_stream(
         self: &Rc<Self>,
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -126,15 +126,15 @@
         let upstream = target.upstream.clone();
         let request = OrderRequest { token, expected: order.expected, order: order.kind };
         let described = describe_order(&request.order);
-        let outcome = self.parts.orders.send(target, request, may_write);
+        let reply = self.parts.orders.send(target, request, may_write);
         let shell = Rc::clone(self);
         actix_rt::spawn(async move {
-            let outcome = outcome.await;
-            if outcome == OrderOutcome::NotSent {
+            let reply = reply.await;
+            if reply.outcome == OrderOutcome::NotSent {
                 shell.parts.metrics.count("order.not_sent");
             }
-            log_order(&shell.identity.name, &upstream, &described, order.expected, &outcome);
-            shell.submit(HostEvent::OrderOutcome(order.key, outcome));
+            log_order(&shell.identity.name, &upstream, &described, order.expected, &reply);
+            shell.submit(HostEvent::OrderOutcome(order.key, reply.outcome));
         });
     }
 }
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -7,6 +7,7 @@
 use wagtailledge_decisions::effect::DecisionKind;
 use wagtailledge_decisions::effect::DecisionRecord;
 use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::event::UpstreamStatement;
 use wagtailledge_decisions::limits::LimitNotice;
 use wagtailledge_decisions::order::EngineReport;
 use wagtailledge_decisions::order::OrderKind;
@@ -14,6 +15,7 @@
 use wagtailledge_decisions::order::ResidentState;
 use wagtailledge_upstreams::BodyEnd;
 use wagtailledge_upstreams::EndCause;
+use wagtailledge_upstreams::OrderReply;
 
 /// Log target of decision records.
 const DECISION_TARGET: &str = "decision";
@@ -49,6 +51,7 @@
         DecisionKind::Health => "health",
         DecisionKind::Limit => "limit",
         DecisionKind::Permit => "permit",
+        DecisionKind::Register => "register",
     }
 }
 
@@ -73,12 +76,15 @@
     format!("{sequence} accepted, {ready} ready, {loading} coming, {activity}")
 }
 
-/// Describes what an answer said about a limit, in requests a second.
-fn describe_limit(notice: LimitNotice) -> String {
-    match notice {
-        LimitNotice::Limited(rate) => rate.to_string(),
-        LimitNotice::Unlimited => "none".to_owned(),
-    }
+/// The limit that an answer named, in requests a second, and the pause that it asked for, in
+/// milliseconds.
+fn describe_statement(statement: &UpstreamStatement) -> (String, u64) {
+    let limit = match statement.limit {
+        Some(LimitNotice::Limited(rate)) => rate.to_string(),
+        Some(LimitNotice::Unlimited) => "none".to_owned(),
+        None => String::new(),
+    };
+    (limit, statement.pause.map_or(0, |pause| pause.as_millis() as u64))
 }
 
 /// Logs the outcome of an order that was sent to an engine.
@@ -87,13 +93,13 @@
     upstream: &str,
     order: &str,
     expected: Option<u64>,
-    outcome: &OrderOutcome,
+    reply: &OrderReply,
 ) {
-    let listing = match outcome {
+    let listing = match &reply.outcome {
         OrderOutcome::Accepted(report) | OrderOutcome::Refused(report) => describe_report(report),
         _ => String::new(),
     };
-    let outcome = match outcome {
+    let outcome = match reply.outcome {
         OrderOutcome::Accepted(_) => "accepted",
         OrderOutcome::Refused(_) => "refused",
         OrderOutcome::Started => "started",
@@ -105,10 +111,12 @@
         OrderOutcome::Lost => "lost",
     };
     let expected = expected.map_or_else(String::new, |expected| expected.to_string());
+    let (limit, pause_ms) = describe_statement(&reply.statement);
     info!(
         target: "order",
         host = host, upstream = upstream, expected = expected.as_str(), outcome = outcome,
-        listing = listing.as_str();
+        listing = listing.as_str(), limit = limit.as_str(), leaving = reply.statement.leaving,
+        asked_pause_ms = pause_ms;
         "{upstream}: {order}: {outcome}"
     );
 }
@@ -130,8 +138,8 @@
     pub status: u16,
     /// How the answer's body ended; `None` while it has not, or if the attempt was aborted.
     pub body_end: Option<BodyEnd>,
-    /// What the answer said about its upstream's limit; `None` if nothing.
-    pub limit: Option<LimitNotice>,
+    /// What the head of the answer said about its upstream.
+    pub statement: UpstreamStatement,
 }
 
 impl AttemptTimes {
@@ -146,7 +154,7 @@
             parts: 0,
             status: 0,
             body_end: None,
-            limit: None,
+            statement: UpstreamStatement::default(),
         }
     }
 
@@ -192,13 +200,14 @@
     let end = times.body_end;
     let (framing, cause) = end.map_or(("", ""), |end| (end.framing.name(), end.cause.name()));
     let open_bytes = end.map_or(0, |end| end.open_bytes);
-    let limit = times.limit.map_or_else(String::new, describe_limit);
+    let (limit, asked_pause_ms) = describe_statement(&times.statement);
     info!(
         target: "attempt",
         host = host, request = request_id, upstream = upstream, attempt = attempt,
         outcome = outcome, status = status, first_ms = first_ms, parts = times.parts,
         pause_ms = pause_ms as u64, took_ms = took_ms as u64,
-        framing = framing, end = cause, open_bytes = open_bytes, limit = limit.as_str();
+        framing = framing, end = cause, open_bytes = open_bytes, limit = limit.as_str(),
+        leaving = times.statement.leaving, asked_pause_ms = asked_pause_ms;
         "{request_id} at {upstream}: {outcome}"
     );
 }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 18] = [
+pub const METRIC_NAMES: [&str; 21] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -22,6 +22,9 @@
     "decision.lead",
     "decision.configure",
     "decision.health",
+    "decision.limit",
+    "decision.permit",
+    "decision.register",
     "request.time",
     "request.waiting",
     "request.open",
--- a/components/entry/tests/departures.rs
+++ b/components/entry/tests/departures.rs
@@ -38,6 +38,7 @@
 use wagtailledge_peers::PeerClient;
 use wagtailledge_upstreams::AnswerHead;
 use wagtailledge_upstreams::CallEvent;
+use wagtailledge_upstreams::OrderReply;
 use wagtailledge_upstreams::OrderRequest;
 use wagtailledge_upstreams::OrderSender;
 use wagtailledge_upstreams::OrderTarget;
@@ -91,8 +92,8 @@
         _: OrderTarget,
         _: OrderRequest,
         _: Box<dyn Fn() -> bool>,
-    ) -> LocalBoxFuture<'static, OrderOutcome> {
-        ready(OrderOutcome::NotSent).boxed_local()
+    ) -> LocalBoxFuture<'static, OrderReply> {
+        ready(OrderOutcome::NotSent.into()).boxed_local()
     }
 }
 
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -10,7 +10,7 @@
 use hyper::Method;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamLoad;
-use wagtailledge_decisions::limits::LimitNotice;
+use wagtailledge_decisions::event::UpstreamStatement;
 
 use crate::framing::BodyEnd;
 
@@ -65,14 +65,8 @@
 /// Event during an exchange.
 #[derive(Debug)]
 pub enum CallEvent {
-    /// The upstream reported its load.
-    Load(UpstreamLoad),
-    /// The head of the answer says whether the upstream limits requests.
-    Limit(LimitNotice),
-    /// The upstream says that it is leaving.
-    Leaving,
-    /// The upstream wants no request from this host for this time.
-    Pause(Duration),
+    /// What the head of the answer says about the upstream.
+    Statement(UpstreamStatement),
     /// A streamed answer begins.
     Started(AnswerHead),
     /// Part of a streamed answer, and the id of the last complete event so far, if known.
--- a/components/upstreams/src/dialect.rs
+++ b/components/upstreams/src/dialect.rs
@@ -17,7 +17,7 @@
 use hyper::header::UPGRADE;
 use hyper::http::response;
 use wagtailledge_decisions::event::UpstreamLoad;
-use wagtailledge_decisions::limits::LimitNotice;
+use wagtailledge_decisions::event::UpstreamStatement;
 
 use crate::call::UpstreamCall;
 use crate::pool::ConnectionPool;
@@ -46,15 +46,8 @@
 pub struct HeadCheck {
     /// Meaning of the answer for the request.
     pub verdict: HeadVerdict,
-    /// Load of the upstream, if the head contains it.
-    pub load: Option<UpstreamLoad>,
-    /// What the head says about the upstream's limit; `None` if the dialect has no limits, or the
-    /// head is unreadable or of another request.
-    pub limit: Option<LimitNotice>,
-    /// Whether the upstream says that it is leaving.
-    pub leaving: bool,
-    /// Time for which the upstream wants no request from this host; `None` if it does not say.
-    pub pause: Option<Duration>,
+    /// What the head says about the upstream; nothing if it belongs to another request.
+    pub statement: UpstreamStatement,
 }
 
 /// HTTP protocol of one kind of upstream.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -85,18 +85,7 @@
             Err(_elapsed) => return AttemptOutcome::Broken,
         };
         let check = self.dialect.read_head(&call, &answer.head);
-        if let Some(load) = check.load {
-            on_event(CallEvent::Load(load)).await;
-        }
-        if let Some(notice) = check.limit {
-            on_event(CallEvent::Limit(notice)).await;
-        }
-        if check.leaving {
-            on_event(CallEvent::Leaving).await;
-        }
-        if let Some(pause) = check.pause {
-            on_event(CallEvent::Pause(pause)).await;
-        }
+        on_event(CallEvent::Statement(check.statement)).await;
         match check.verdict {
             HeadVerdict::Answer => {}
             HeadVerdict::Refused => return AttemptOutcome::NotRun { misplaced: false },
--- a/components/upstreams/src/json.rs
+++ b/components/upstreams/src/json.rs
@@ -8,10 +8,12 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
+use hyper::http::response;
 
 use crate::dialect::keep_alive_time;
 use crate::pool::ConnectionPool;
@@ -69,6 +71,8 @@
 pub struct ShortAnswer {
     /// HTTP status of the answer.
     pub status: u16,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
     /// Complete body of the answer.
     pub body: Bytes,
 }
@@ -91,7 +95,8 @@
             let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|error| lost(&error.to_string()))?.to_bytes();
             answer.connection.release(keep_alive_time(&answer.head));
-            Ok(ShortAnswer { status: answer.head.status.as_u16(), body })
+            let response::Parts { status, headers, .. } = answer.head;
+            Ok(ShortAnswer { status: status.as_u16(), headers, body })
         };
         match timeout(max_wait, exchange).await {
             Ok(result) => result,
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -32,6 +32,7 @@
 pub use openai::JsonOrders;
 pub use openai::OpenAiDialect;
 pub use order::OrderAnswer;
+pub use order::OrderReply;
 pub use order::OrderRequest;
 pub use order::OrderSender;
 pub use order::OrderTarget;
--- a/components/upstreams/src/openai.rs
+++ b/components/upstreams/src/openai.rs
@@ -15,6 +15,7 @@
 use hyper::http::response;
 use serde::Deserialize;
 use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::event::UpstreamStatement;
 use wagtailledge_decisions::order::OrderOutcome;
 
 use crate::call::UpstreamCall;
@@ -23,6 +24,7 @@
 use crate::dialect::UpstreamDialect;
 use crate::json::ShortRequest;
 use crate::order::OrderAnswer;
+use crate::order::OrderReply;
 use crate::order::OrderRequest;
 use crate::order::OrderSender;
 use crate::order::OrderTarget;
@@ -75,7 +77,7 @@
             StatusCode::SERVICE_UNAVAILABLE if is_engine => HeadVerdict::Refused,
             _ => HeadVerdict::Answer,
         };
-        HeadCheck { verdict, load: None, limit: None, leaving: false, pause: None }
+        HeadCheck { verdict, statement: UpstreamStatement::default() }
     }
 
     fn is_complete(&self, tail: &[u8]) -> bool {
@@ -127,7 +129,7 @@
         target: OrderTarget,
         request: OrderRequest,
         may_write: Box<dyn Fn() -> bool>,
-    ) -> LocalBoxFuture<'static, OrderOutcome> {
+    ) -> LocalBoxFuture<'static, OrderReply> {
         let pool = self.pool.clone();
         let address = target.address;
         async move {
@@ -149,6 +151,7 @@
                 Err(ExchangeFault::Lost(_)) => OrderOutcome::Lost,
             }
         }
+        .map(OrderReply::from)
         .boxed_local()
     }
 }
--- a/components/upstreams/src/order.rs
+++ b/components/upstreams/src/order.rs
@@ -6,6 +6,7 @@
 use futures::future::LocalBoxFuture;
 use serde::Deserialize;
 use serde::Serialize;
+use wagtailledge_decisions::event::UpstreamStatement;
 use wagtailledge_decisions::order::EngineReport;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
@@ -71,6 +72,21 @@
     pub holder: String,
 }
 
+/// Outcome of an order, and what the answer to it said about the engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderReply {
+    /// Whether the engine executed the order.
+    pub outcome: OrderOutcome,
+    /// What the engine said about itself; nothing if it did not answer.
+    pub statement: UpstreamStatement,
+}
+
+impl From<OrderOutcome> for OrderReply {
+    fn from(outcome: OrderOutcome) -> Self {
+        Self { outcome, statement: UpstreamStatement::default() }
+    }
+}
+
 /// Client that sends orders to engines.
 pub trait OrderSender: fmt::Debug {
     /// Sends an order. `may_write` is called right before the exchange that carries the order; if
@@ -80,5 +96,5 @@
         target: OrderTarget,
         request: OrderRequest,
         may_write: Box<dyn Fn() -> bool>,
-    ) -> LocalBoxFuture<'static, OrderOutcome>;
+    ) -> LocalBoxFuture<'static, OrderReply>;
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Keys of the log lines about requests, in the order in which they are written.
-const KEYS: [&str; 22] = [
+const KEYS: [&str; 24] = [
     "kind",
     "host",
     "request",
@@ -26,6 +26,8 @@
     "end",
     "open_bytes",
     "limit",
+    "leaving",
+    "asked_pause_ms",
     "expected",
     "listing",
     "zone",
@@ -93,10 +95,15 @@
         format!(" (body framed by {framing}, end {end}{open})")
     }
 
-    /// Describes the limit that the answer named; empty if it named none.
-    fn limit(&self) -> String {
+    /// Describes what the answer said about its upstream; empty if nothing of note.
+    fn statement(&self) -> String {
         let named = self.field("limit").filter(|limit| !matches!(*limit, "" | "none"));
-        named.map_or_else(String::new, |rate| format!(", limit {rate} requests a second"))
+        let limit =
+            named.map_or_else(String::new, |rate| format!(", limit {rate} requests a second"));
+        let leaving = if self.field("leaving") == Some("true") { ", leaving" } else { "" };
+        let pause = self.field("asked_pause_ms").filter(|millis| *millis != "0");
+        let pause = pause.map_or_else(String::new, |millis| format!(", asked to wait {millis} ms"));
+        format!("{limit}{leaving}{pause}")
     }
 
     /// Describes the event of this line, with its time and host.
@@ -118,7 +125,7 @@
                 value("parts"),
                 value("took_ms"),
                 self.body_end(),
-                self.limit()
+                self.statement()
             ),
             (Some(kind), _) => format!("{kind}: {}, {}", value("choice"), value("reason")),
             (None, None) => self.text.clone(),
