Add failing tests for what upstreams said and hosts forgot

On this code an upstream that says it is leaving gets 18 of 40 requests after its entry lapsed and returned for the same process, whether the answer comes before, during or after the lapse; a pause and a limit are lost alike. Over sockets two hosts send 2 of 100 requests to such an engine.

Found beside it: an entry that says ready again revives an upstream that was draining; an entry without a start time counts as a restart; a leader takes what an earlier process said for the next one's; the answer 421 of a stranger at a reused address counts as that of the upstream; answers to orders and report requests are read by nobody. The stand-in engine says in these, too, that it leaves.

--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -185,15 +185,13 @@
             state.order_answers_to_lose -= 1;
             return StandInAnswer::Hang;
         }
-        StandInAnswer::Json(status, json!({}))
+        StandInAnswer::Reply(status, state.statements(), Bytes::from_static(b"{}"))
     }
 
     fn serve(&self, request: &StandInRequest) -> StandInAnswer {
         let mut state = self.lock();
         state.arrivals.push(Instant::now());
-        let limit = (!state.limit.is_empty()).then(|| ("server-limit", state.limit.clone()));
-        let leaving = state.leaving.then(|| ("server-leaving", "1".to_owned()));
-        let statements = limit.into_iter().chain(leaving);
+        let statements = state.statements();
         let target = request.header("x-model");
         let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
         let adapters = state.resident.get(model);
@@ -225,6 +223,13 @@
 }
 
 impl EngineState {
+    /// Headers of all answers that say something about the engine.
+    fn statements(&self) -> Vec<(&'static str, String)> {
+        let limit = (!self.limit.is_empty()).then(|| ("server-limit", self.limit.clone()));
+        let leaving = self.leaving.then(|| ("server-leaving", "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
+    }
+
     /// Makes the loading model resident once its load time has passed.
     fn finish_load(&mut self) {
         if let Some((model, _)) = self.loading.take_if(|(_, ready)| *ready <= Instant::now()) {
@@ -317,7 +322,7 @@
                     let (models, sequence) = (state.models(), state.accepted);
                     let busy = state.loading.is_some();
                     let report = json!({ "models": models, "busy": busy, "sequence": sequence });
-                    StandInAnswer::Json(200, report)
+                    StandInAnswer::Reply(200, state.statements(), report.to_string().into())
                 }
                 "/-/order" => self.order(&request.json()),
                 _ => self.serve(&request),
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -24,6 +24,8 @@
 const LIMIT_CONTACT: Duration = Duration::from_secs(3);
 /// Requests after which an engine is assumed to get none.
 const MAX_ASKS: usize = 100;
+/// Time after a change of an entry by which all hosts know it.
+const ENTRY_LAPSE: Duration = Duration::from_secs(3);
 const SPEC: FleetSpec =
     FleetSpec { hosts: 2, engines: 2, models: 4, load_time: Duration::from_millis(150) };
 
@@ -707,6 +709,49 @@
     });
 }
 
+#[test]
+fn can_send_nothing_new_to_a_leaving_engine_whose_entry_lapsed_and_returned() {
+    run(async {
+        let stack = ready_stack().await;
+        let leaving = &stack.engines[0];
+        leaving.say_leaving();
+        for host in 0..stack.hosts.len() {
+            for number in 0..MAX_ASKS {
+                let before = leaving.arrivals().len();
+                ask(&stack, host, "m0", &format!("told-{host}-{number}")).await;
+                if leaving.arrivals().len() > before {
+                    break;
+                }
+            }
+        }
+        stack.store.remove(&format!("servers/{}", leaving.name()));
+        actix_rt::time::sleep(ENTRY_LAPSE).await;
+        stack.register();
+        actix_rt::time::sleep(ENTRY_LAPSE).await;
+        let before = leaving.arrivals().len();
+        for number in 0..MAX_ASKS {
+            let host = number % stack.hosts.len();
+            let answer = ask(&stack, host, "m0", &format!("after-{number}")).await;
+            assert_eq!(answer.status, 200, "{}", answer.head);
+        }
+        assert_eq!(leaving.arrivals().len(), before);
+    });
+}
+
+#[test]
+fn can_send_nothing_to_an_engine_that_says_it_leaves_in_the_answer_to_an_order() {
+    run(async {
+        let stack = ready_stack_of(FleetSpec { hosts: 1, engines: 1, ..SPEC }).await;
+        let engine = &stack.engines[0];
+        let before = engine.arrivals().len();
+        engine.say_leaving();
+        let answer = ask(&stack, 0, "m1", "ordered").await;
+        assert_eq!(engine.peak_models(), 2, "the order was carried out");
+        assert_eq!(engine.arrivals().len(), before);
+        assert_eq!(answer.status, 503, "{}", answer.head);
+    });
+}
+
 #[test]
 fn can_send_nothing_to_a_service_until_its_pause_is_over() {
     run(async {
