Keep what a process of an upstream said while its entry is missing

Cause: all that a host knows of an upstream is kept under its key in the catalog, and the key stood for an entry. Each return of an entry got a new key, under which nothing was known; events for the old key were dropped.

A key now stands for a process, that is a name with a start time. The record of an upstream goes with its entry, as before, so nothing is sent or placed there; the process and its key stay, and what arrives for it still counts. Another start time is another process with another key. A process whose entry is missing for two hours is forgotten. Buckets of limits, loads, failures and requests in flight survive a lapse for the same reason.

Two more cover a service that is not configured for a while and the two hours.

--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -93,8 +93,7 @@
         upstream: UpstreamKey,
         effects: &mut Vec<HostEffect>,
     ) {
-        if !self.catalog.upstreams.contains_key(upstream) || !self.members.record_leaving(upstream)
-        {
+        if !self.catalog.has_process(upstream) || !self.members.record_leaving(upstream) {
             return;
         }
         self.log_health(upstream, "leaving", "said in an answer", effects);
--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -121,7 +121,7 @@
         notice: LimitNotice,
         effects: &mut Vec<HostEffect>,
     ) {
-        if !self.catalog.upstreams.contains_key(upstream) {
+        if !self.catalog.has_process(upstream) {
             return;
         }
         if self.limits.view.observe(now, upstream, dispatched, notice) {
@@ -187,7 +187,7 @@
     }
 
     /// Sets the limits of this scope's upstreams, at which this host grants permits if it leads.
-    fn update_granted_rates(&mut self, now: Moment) {
+    pub(super) fn update_granted_rates(&mut self, now: Moment) {
         let is_own = |key: UpstreamKey| {
             self.catalog.upstreams.get(key).is_some_and(|record| record.scope == self.me.scope)
         };
--- a/components/decisions/src/host/permits.rs
+++ b/components/decisions/src/host/permits.rs
@@ -310,8 +310,8 @@
         if self.limits.view.is_empty() {
             return;
         }
-        let upstreams = &self.catalog.upstreams;
-        self.limits.view.sweep(now, |key| upstreams.contains_key(key));
+        let catalog = &self.catalog;
+        self.limits.view.sweep(now, |key| catalog.has_process(key));
         let waited = now.since(self.limits.leader_granted_at.max(self.resumed_at));
         let has_leader = waited < self.timing.peer_timeout * LEADERLESS_TIMEOUTS;
         if has_leader || self.limits.allocator.is_some() {
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -1,5 +1,7 @@
 //! Handling of upstreams that register themselves with the platform.
 
+use std::time::Duration;
+
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::UpstreamRecord;
 use wagtailledge_inventory::catalog::UpstreamKind;
@@ -17,6 +19,9 @@
 
 use super::state::HostReducer;
 
+/// Time for which the process of a missing entry is remembered. Must exceed the longest outage after
+/// which the entry may return.
+const PROCESS_RETENTION: Duration = Duration::from_secs(2 * 60 * 60);
 /// Most changed entries that are logged one by one when many change at once.
 const MAX_LOGGED_ENTRIES: usize = 16;
 
@@ -89,6 +94,7 @@
             }
         }
         log_entries(logged, effects);
+        self.update_granted_rates(now);
         self.inventory_changed(now, effects);
         self.dispatch_all_waiting(now, effects);
     }
@@ -110,7 +116,8 @@
         }
     }
 
-    /// Removes an upstream and its replicas from the members, the catalog and the view.
+    /// Removes an upstream and its replicas from the members, the catalog and the view. What its
+    /// process said stays known, as the entry may return.
     fn unregister_upstream(&mut self, name: &str) {
         self.members.put_upstream(name, None);
         if self.catalog.unregister_upstream(name).is_some() {
@@ -118,6 +125,27 @@
         }
     }
 
+    /// Forgets what processes said whose entries have been missing for long.
+    pub(super) fn forget_processes(&mut self, now: Moment) {
+        let catalog = &self.catalog;
+        let is_missing = |key| catalog.has_process(key) && !catalog.upstreams.contains_key(key);
+        self.missing_since.retain(|key, _| is_missing(key));
+        let missing: Vec<UpstreamKey> = catalog.unregistered_processes().collect();
+        for key in missing {
+            match self.missing_since.get(key) {
+                None => {
+                    self.missing_since.insert(key, now);
+                }
+                Some(since) if now.since(*since) >= PROCESS_RETENTION => {
+                    self.catalog.forget_process(key);
+                }
+                Some(_) => {}
+            }
+        }
+        let catalog = &self.catalog;
+        self.members.retain_leaving(|key| catalog.has_process(key));
+    }
+
     /// Adds or updates a registered upstream, unless its service is not configured.
     fn register_upstream(
         &mut self,
@@ -144,7 +172,7 @@
             service: Some(service),
             registered: true,
         };
-        let Some(key) = self.catalog.register_upstream(record) else {
+        let Some(key) = self.catalog.register_upstream(record, upstream.started_ms) else {
             return;
         };
         self.members.put_upstream(&upstream.name, Some(upstream.state));
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -7,6 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use wagtailledge_inventory::AssetKey;
 use wagtailledge_inventory::InventoryCatalog;
@@ -123,6 +124,8 @@
     pub(super) declined: BTreeSet<AssetKey>,
     /// Upstreams that registered themselves with the platform.
     pub(super) registered_upstreams: RegistryDirectory,
+    /// When a sweep first found the entry of a registered process missing.
+    pub(super) missing_since: SecondaryMap<UpstreamKey, Moment>,
     pub(super) next_configuration_read: Moment,
     pub(super) next_configuration_request: Moment,
     pub(super) next_sweep: Moment,
@@ -180,6 +183,7 @@
             retry_demand_until: BTreeMap::new(),
             declined: BTreeSet::new(),
             registered_upstreams: RegistryDirectory::new(table_seed),
+            missing_since: SecondaryMap::new(),
             next_configuration_read: now,
             next_configuration_request: now,
             next_sweep: now,
@@ -315,8 +319,7 @@
             self.members.remove_unlisted_before(now.before(self.timing.peer_timeout * 8));
             self.retry_demand_until.retain(|_, until| *until > now);
             self.replica_backoffs.sweep(now);
-            let upstreams = &self.catalog.upstreams;
-            self.members.retain_leaving(|key| upstreams.contains_key(key));
+            self.forget_processes(now);
         }
     }
 
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -34,8 +34,8 @@
     is_listed: bool,
     /// State of each upstream by name; `None` until upstreams were first listed or reported.
     upstreams: Option<BTreeMap<String, ListedState>>,
-    /// Upstreams that said themselves that they are leaving, to any host. A key is never used for
-    /// another process of an upstream.
+    /// Upstreams that said themselves that they are leaving, to any host; they never stay after that.
+    /// A key stands for one process of an upstream, which has no other key.
     leaving: BTreeSet<UpstreamKey>,
 }
 
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -11,6 +11,8 @@
 use wagtailledge_decisions::HostEffect;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::Moment;
+use wagtailledge_decisions::configuration::ItemMap;
+use wagtailledge_decisions::configuration::to_items;
 use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::ListedState;
@@ -28,6 +30,7 @@
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTarget;
 use wagtailledge_inventory::UpstreamKey;
+use wagtailledge_inventory::parse::parse_inventory;
 
 /// Inventory with a pool, and a plain service with one declared instance. Another instance of it
 /// registers itself.
@@ -58,11 +61,17 @@
 loads_per_minute = 120
 checks_tokens = true
 "#;
+/// Inventory without the service.
+const EMPTY_INVENTORY: &str = "[[class]]\nname = \"alarm\"\nrank = 0\ndeadline = \"10s\"\n";
 /// Instance that registers itself.
 const REGISTERED: &str = "registered";
 /// Requests after the entry returned.
 const REQUESTS: usize = 40;
 
+fn items(inventory: &str) -> ItemMap {
+    to_items(&parse_inventory("test", inventory).unwrap())
+}
+
 /// Event that brings the entry of the registered instance.
 fn entry(started_ms: u64, state: ListedState, revision: u64) -> HostEvent {
     HostEvent::Registry(vec![RegistryChange::Present(Box::new(RegisteredUpstream {
@@ -209,6 +218,30 @@
     assert_eq!(reader.requests_to_registered(), 0);
 }
 
+#[test]
+fn can_send_nothing_new_to_a_leaving_upstream_whose_service_was_not_configured_meanwhile() {
+    let mut reader = EntryReader::new();
+    reader.host.submit(HostEvent::LeavingReport(reader.key()));
+    reader.host.submit(HostEvent::Inventory(2, items(EMPTY_INVENTORY)));
+    assert_eq!(reader.host.reducer.catalog().upstream_named(REGISTERED), None);
+    reader.host.submit(HostEvent::Inventory(3, items(INVENTORY)));
+    reader.host.list_upstreams();
+    assert_eq!(reader.requests_to_registered(), 0);
+}
+
+#[test]
+fn can_forget_the_process_of_an_entry_that_is_missing_for_hours() {
+    let mut reader = EntryReader::new();
+    let key = reader.key();
+    reader.remove_entry();
+    assert!(reader.host.reducer.catalog().has_process(key));
+    for _ in 0..3 * 60 * 60 {
+        reader.host.now = reader.host.now.after(Duration::from_secs(1));
+        reader.host.submit(HostEvent::Tick);
+    }
+    assert!(!reader.host.reducer.catalog().has_process(key));
+}
+
 #[test]
 fn can_send_requests_to_the_next_process_of_a_leaving_upstream() {
     for lapses in [false, true] {
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -28,10 +29,14 @@
 pub use records::ServiceRecord;
 pub use records::UpstreamKey;
 pub use records::UpstreamKind;
+pub use records::UpstreamProcess;
 pub use records::UpstreamRecord;
 pub use routes::RouteRecord;
 pub use routes::RouteTable;
 
+/// Start time of the processes of declared upstreams.
+const DECLARED: u64 = 0;
+
 /// Prefix of the item names of adapters, see [`ConfigurationItem::name`].
 const ADAPTER_PREFIX: &str = "adapter/";
 
@@ -44,8 +49,11 @@
     pub rules: RuleSet,
     /// Model versions and adapters. A key stays valid as long as its item exists.
     pub assets: SlotMap<AssetKey, AssetRecord>,
-    /// Engines and service instances. A key stays valid as long as its item exists.
-    pub upstreams: SlotMap<UpstreamKey, UpstreamRecord>,
+    /// Engines and service instances that are declared or registered now.
+    pub upstreams: SecondaryMap<UpstreamKey, UpstreamRecord>,
+    /// Process of each key. Contains the keys of all `upstreams`, and of processes that registered
+    /// themselves, have no record now and may register again. A process never gets another key.
+    processes: SlotMap<UpstreamKey, UpstreamProcess>,
     /// Plain services and pools. A key stays valid as long as its item exists.
     pub services: SlotMap<ServiceKey, ServiceRecord>,
     /// Routes for requests that are passed through to a service.
@@ -54,7 +62,8 @@
     /// until the content is replaced.
     pub scopes: Vec<String>,
     asset_names: BTreeMap<String, AssetKey>,
-    upstream_names: BTreeMap<String, UpstreamKey>,
+    /// Latest process of each upstream by name; exactly the keys of `processes`.
+    process_names: BTreeMap<String, UpstreamKey>,
     service_names: BTreeMap<String, ServiceKey>,
     /// Serving versions by public name, see [`Self::versions_of`].
     versions: BTreeMap<String, Vec<AssetKey>>,
@@ -158,7 +167,40 @@
 
     /// Finds an upstream by its unique name.
     pub fn upstream_named(&self, name: &str) -> Option<UpstreamKey> {
-        self.upstream_names.get(name).copied()
+        let key = self.process_names.get(name).copied();
+        key.filter(|key| self.upstreams.contains_key(*key))
+    }
+
+    /// Whether the process of an upstream is known, even if the upstream has no record now.
+    pub fn has_process(&self, key: UpstreamKey) -> bool {
+        self.processes.contains_key(key)
+    }
+
+    /// Processes that registered themselves and whose upstreams have no record now.
+    pub fn unregistered_processes(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
+        self.processes.keys().filter(|key| !self.upstreams.contains_key(*key))
+    }
+
+    /// Forgets a process whose upstream has no record. If it registers again, it gets a new key.
+    pub fn forget_process(&mut self, key: UpstreamKey) {
+        if !self.upstreams.contains_key(key) {
+            self.remove_process(key);
+        }
+    }
+
+    fn remove_process(&mut self, key: UpstreamKey) {
+        self.remove_record(key);
+        if let Some(process) = self.processes.remove(key) {
+            self.process_names.remove(&process.name);
+        }
+    }
+
+    fn remove_record(&mut self, key: UpstreamKey) -> Option<UpstreamRecord> {
+        let record = self.upstreams.remove(key)?;
+        if let Some(service) = record.service.and_then(|service| self.services.get_mut(service)) {
+            service.instances.retain(|instance| *instance != key);
+        }
+        Some(record)
     }
 
     /// Finds a service by its unique name.
@@ -166,14 +208,19 @@
         self.service_names.get(name).copied()
     }
 
-    /// Adds or updates an upstream that registered itself. The upstream stays when the document
-    /// changes, as long as its service is declared. Returns `None` if the service is not declared.
-    pub fn register_upstream(&mut self, mut record: UpstreamRecord) -> Option<UpstreamKey> {
+    /// Adds or updates an upstream whose process registered itself at `started_ms`. The upstream
+    /// stays when the document changes, as long as its service is declared. Returns `None` if the
+    /// service is not declared.
+    pub fn register_upstream(
+        &mut self,
+        mut record: UpstreamRecord,
+        started_ms: u64,
+    ) -> Option<UpstreamKey> {
         record.registered = true;
         let service = record.service.filter(|service| self.services.contains_key(*service))?;
         let scope = record.scope.clone();
         let is_engine = matches!(record.kind, UpstreamKind::Engine { .. });
-        let key = self.upsert_upstream(record);
+        let key = self.upsert_upstream(record, started_ms);
         let instances = &mut self.services[service].instances;
         if !instances.contains(&key) {
             instances.push(key);
@@ -184,17 +231,14 @@
         Some(key)
     }
 
-    /// Removes an upstream that registered itself. Returns `None` if none of these has the name.
+    /// Removes an upstream that registered itself; its process keeps its key. Returns `None` if none
+    /// of these has the name.
     pub fn unregister_upstream(&mut self, name: &str) -> Option<UpstreamKey> {
         let key = self.upstream_named(name)?;
         if !self.upstreams[key].registered {
             return None;
         }
-        self.upstream_names.remove(name);
-        let record = self.upstreams.remove(key)?;
-        if let Some(service) = record.service.and_then(|service| self.services.get_mut(service)) {
-            service.instances.retain(|instance| *instance != key);
-        }
+        self.remove_record(key);
         Some(key)
     }
 
@@ -357,26 +401,39 @@
         }
         let kept: std::collections::HashSet<&str> =
             records.iter().map(|record| record.name.as_str()).collect();
-        let services = &self.services;
-        self.upstreams.retain(|_, record| {
-            let has_service = record.service.is_some_and(|service| services.contains_key(service));
-            kept.contains(record.name.as_str()) || (record.registered && has_service)
-        });
-        let upstreams = &self.upstreams;
-        self.upstream_names.retain(|_, key| upstreams.contains_key(*key));
+        let undeclared: Vec<(UpstreamKey, bool)> = self
+            .upstreams
+            .iter()
+            .filter(|(_, record)| !kept.contains(record.name.as_str()))
+            .map(|(key, record)| (key, record.registered))
+            .collect();
+        for (key, registered) in undeclared {
+            let service = self.upstreams[key].service;
+            if !registered {
+                self.remove_process(key);
+            } else if !service.is_some_and(|service| self.services.contains_key(service)) {
+                self.remove_record(key);
+            }
+        }
         for record in records {
-            self.upsert_upstream(record);
+            self.upsert_upstream(record, DECLARED);
         }
     }
 
-    fn upsert_upstream(&mut self, record: UpstreamRecord) -> UpstreamKey {
-        if let Some(key) = self.upstream_names.get(&record.name) {
-            self.upstreams[*key] = record;
-            return *key;
+    /// Adds or updates an upstream. Another process of it, if there was one, is forgotten.
+    fn upsert_upstream(&mut self, record: UpstreamRecord, started_ms: u64) -> UpstreamKey {
+        let known = self.process_names.get(&record.name).copied();
+        if let Some(key) = known.filter(|key| self.processes[*key].started_ms == started_ms) {
+            self.upstreams.insert(key, record);
+            return key;
+        }
+        if let Some(key) = known {
+            self.remove_process(key);
         }
         let name = record.name.clone();
-        let key = self.upstreams.insert(record);
-        self.upstream_names.insert(name, key);
+        let key = self.processes.insert(UpstreamProcess { name: name.clone(), started_ms });
+        self.upstreams.insert(key, record);
+        self.process_names.insert(name, key);
         key
     }
 
--- a/components/inventory/src/catalog/records.rs
+++ b/components/inventory/src/catalog/records.rs
@@ -11,7 +11,7 @@
 new_key_type! {
     /// Key of a model version or an adapter.
     pub struct AssetKey;
-    /// Key of an engine or an instance of a plain service.
+    /// Key of one process of an engine or of an instance of a plain service.
     pub struct UpstreamKey;
     /// Key of a plain service or a pool of engines.
     pub struct ServiceKey;
@@ -58,6 +58,16 @@
     Service,
 }
 
+/// Process of an upstream, which another one under the same name may replace.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamProcess {
+    /// Name of the upstream.
+    pub name: String,
+    /// When the process started, in milliseconds since 1970 on its own clock; 0 for a declared
+    /// upstream, whose processes are not told apart.
+    pub started_ms: u64,
+}
+
 /// An engine or an instance of a plain service.
 #[derive(Debug, Clone)]
 pub struct UpstreamRecord {
