Keep an upstream leaving whose entry says again that it stays

An engine whose entry had said that it is draining got 18 of 40 requests after an entry of the same process said ready, as a heartbeat does that was written before and arrives later.

Cause: the last entry replaced what the one before had said. A process that leaves does not stay, so the state of an entry is now recorded like the mark of an answer, and only another process ends it. Hosts still tell their leader only of upstreams whose entries do not say it.

--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -176,6 +176,10 @@
             return;
         };
         self.members.put_upstream(&upstream.name, Some(upstream.state));
+        if upstream.state == ListedState::Leaving {
+            // A heartbeat written late may say again that it stays.
+            self.members.record_leaving(key);
+        }
         if let Some(report) = &upstream.report {
             self.apply_engine_report(now, key, upstream, report, effects);
         }
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -160,7 +160,7 @@
             used: to_usage_rows(&self.catalog, usage),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
-            leaving: self.members.leaving().filter_map(name_of).collect(),
+            leaving: self.members.leaving_unlisted(&self.catalog).filter_map(name_of).collect(),
             draining: self.draining,
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -34,8 +34,8 @@
     is_listed: bool,
     /// State of each upstream by name; `None` until upstreams were first listed or reported.
     upstreams: Option<BTreeMap<String, ListedState>>,
-    /// Upstreams that said themselves that they are leaving, to any host; they never stay after that.
-    /// A key stands for one process of an upstream, which has no other key.
+    /// Upstreams that said that they are leaving, in an answer to any host or in their entry; they
+    /// never stay after that. A key stands for one process of an upstream, which has no other key.
     leaving: BTreeSet<UpstreamKey>,
 }
 
@@ -203,27 +203,40 @@
         self.upstream_state(catalog, upstream).is_some()
     }
 
-    fn upstream_state(
+    fn listed_state(
         &self,
         catalog: &InventoryCatalog,
         upstream: UpstreamKey,
     ) -> Option<ListedState> {
         let record = catalog.upstreams.get(upstream)?;
-        let listed = match &self.upstreams {
-            Some(upstreams) => upstreams.get(&record.name).copied()?,
-            None => ListedState::Live,
-        };
+        match &self.upstreams {
+            Some(upstreams) => upstreams.get(&record.name).copied(),
+            None => Some(ListedState::Live),
+        }
+    }
+
+    fn upstream_state(
+        &self,
+        catalog: &InventoryCatalog,
+        upstream: UpstreamKey,
+    ) -> Option<ListedState> {
+        let listed = self.listed_state(catalog, upstream)?;
         Some(if self.leaving.contains(&upstream) { ListedState::Leaving } else { listed })
     }
 
-    /// Records that an upstream said itself that it is leaving. Returns whether this was unknown.
+    /// Records that an upstream said that it is leaving. Returns whether this was unknown.
     pub fn record_leaving(&mut self, upstream: UpstreamKey) -> bool {
         self.leaving.insert(upstream)
     }
 
-    /// Upstreams that said themselves that they are leaving.
-    pub fn leaving(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
-        self.leaving.iter().copied()
+    /// Existing upstreams that said that they are leaving, though they are not listed as leaving.
+    pub fn leaving_unlisted<'m>(
+        &'m self,
+        catalog: &'m InventoryCatalog,
+    ) -> impl Iterator<Item = UpstreamKey> + 'm {
+        let is_unlisted =
+            |key: &UpstreamKey| self.listed_state(catalog, *key) == Some(ListedState::Live);
+        self.leaving.iter().copied().filter(is_unlisted)
     }
 
     /// Forgets the upstreams for which `exists` is false.
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -234,7 +234,7 @@
     /// Limits of upstreams and permits that the sender waits for.
     #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
     pub limits: LimitReport,
-    /// Names of the upstreams that said themselves that they are leaving.
+    /// Names of the upstreams that said that they are leaving, though their entries do not.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<String>,
     /// Whether the sender is draining and must not be named as a successor any more.
