Ignore entries without a start time where the process is known to have one

An engine that had said that it leaves got 18 of 40 requests after an entry under its name that lacks the start time, which another writer may leave there, and its own next heartbeat.

Cause: a missing start time was read as the start time zero, so the two entries counted as two restarts, and each forgot what the process had said.

--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -4,6 +4,7 @@
 
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::UpstreamRecord;
+use wagtailledge_inventory::catalog::UNDATED;
 use wagtailledge_inventory::catalog::UpstreamKind;
 
 use crate::discovery::RegistryUpdate;
@@ -69,6 +70,11 @@
         self.dispatch_not_before = Moment::default();
         let mut logged = Vec::new();
         for change in changes {
+            if self.lacks_known_start(&change) {
+                let name = change.name().to_owned();
+                logged.push((name, "ignored".to_owned(), "entry without a start time"));
+                continue;
+            }
             let old = self.registered_upstreams.get(change.name()).cloned();
             if !self.registered_upstreams.put(&change) {
                 continue;
@@ -99,6 +105,16 @@
         self.dispatch_all_waiting(now, effects);
     }
 
+    /// Whether the change is an entry without a start time although the upstream's process is known
+    /// to have one. Such an entry was not written by the upstream.
+    fn lacks_known_start(&self, change: &RegistryChange) -> bool {
+        let RegistryChange::Present(upstream) = change else {
+            return false;
+        };
+        let process = self.catalog.process_of(&upstream.name);
+        upstream.started_ms == UNDATED && process.is_some_and(|known| known.started_ms != UNDATED)
+    }
+
     /// Applies an update of the registered upstreams from this host's leader.
     pub(super) fn apply_registry_update(
         &mut self,
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -218,6 +218,29 @@
     assert_eq!(reader.requests_to_registered(), 0);
 }
 
+#[test]
+fn can_send_nothing_new_to_a_leaving_upstream_after_an_entry_without_a_start_time() {
+    for lapses in [false, true] {
+        let mut reader = EntryReader::new();
+        reader.host.submit(HostEvent::LeavingReport(reader.key()));
+        if lapses {
+            reader.remove_entry();
+        }
+        reader.put_entry(0, ListedState::Live);
+        reader.put_entry(1, ListedState::Live);
+        assert_eq!(reader.requests_to_registered(), 0, "lapse: {lapses}");
+    }
+}
+
+#[test]
+fn can_use_upstreams_whose_entries_never_have_a_start_time() {
+    let mut reader = EntryReader { host: TestHost::with_inventory(INVENTORY), revision: 0 };
+    reader.put_entry(0, ListedState::Live);
+    reader.remove_entry();
+    reader.put_entry(0, ListedState::Live);
+    assert!(reader.requests_to_registered() > 0);
+}
+
 #[test]
 fn can_send_nothing_new_to_a_leaving_upstream_whose_service_was_not_configured_meanwhile() {
     let mut reader = EntryReader::new();
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -27,6 +27,7 @@
 pub use records::PoolRecord;
 pub use records::ServiceKey;
 pub use records::ServiceRecord;
+pub use records::UNDATED;
 pub use records::UpstreamKey;
 pub use records::UpstreamKind;
 pub use records::UpstreamProcess;
@@ -34,9 +35,6 @@
 pub use routes::RouteRecord;
 pub use routes::RouteTable;
 
-/// Start time of the processes of declared upstreams.
-const DECLARED: u64 = 0;
-
 /// Prefix of the item names of adapters, see [`ConfigurationItem::name`].
 const ADAPTER_PREFIX: &str = "adapter/";
 
@@ -171,6 +169,11 @@
         key.filter(|key| self.upstreams.contains_key(*key))
     }
 
+    /// Latest process of the upstream with this name, even if the upstream has no record now.
+    pub fn process_of(&self, name: &str) -> Option<&UpstreamProcess> {
+        self.processes.get(*self.process_names.get(name)?)
+    }
+
     /// Whether the process of an upstream is known, even if the upstream has no record now.
     pub fn has_process(&self, key: UpstreamKey) -> bool {
         self.processes.contains_key(key)
@@ -416,7 +419,7 @@
             }
         }
         for record in records {
-            self.upsert_upstream(record, DECLARED);
+            self.upsert_upstream(record, UNDATED);
         }
     }
 
--- a/components/inventory/src/catalog/records.rs
+++ b/components/inventory/src/catalog/records.rs
@@ -58,13 +58,16 @@
     Service,
 }
 
+/// Start time of a process whose start is not known, and of the processes of declared upstreams.
+pub const UNDATED: u64 = 0;
+
 /// Process of an upstream, which another one under the same name may replace.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamProcess {
     /// Name of the upstream.
     pub name: String,
-    /// When the process started, in milliseconds since 1970 on its own clock; 0 for a declared
-    /// upstream, whose processes are not told apart.
+    /// When the process started, in milliseconds since 1970 on its own clock; or [`UNDATED`], and
+    /// processes of the upstream are not told apart.
     pub started_ms: u64,
 }
 
