Name the process of an upstream in messages between hosts

A leader that knew the new process of an engine sent it nothing, because a host that had not yet read the restart told it, by the engine's name alone, that the engine leaves: 0 of 40 requests, though the new process never said so. With a limit likewise.

Messages named the upstream, and the receiver applied them to whatever process it knew under that name. Rows of leaving upstreams and of limits, wants and grants of permits now carry the start time of the process; a row of a process that the receiver does not know is ignored, and the sender repeats it until the leader has it. A row without a start time, of an earlier build or a declared upstream, counts by name.

--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -21,6 +21,7 @@
 use crate::limits::RequestRate;
 use crate::message::LimitRow;
 use crate::message::LimitTable;
+use crate::message::ProcessRow;
 use crate::message::ReplicaState;
 use crate::message::WaitRow;
 use crate::request::RefusalOutcome;
@@ -140,7 +141,8 @@
     ) {
         let mut changed = false;
         for row in rows {
-            let Some(upstream) = self.catalog.upstream_named(&row.upstream) else {
+            let process = self.catalog.process_named(&row.upstream, row.started_ms);
+            let Some(upstream) = process else {
                 continue;
             };
             let record = LimitRecord { rate: row.rate, age: Duration::from_millis(row.age_ms) };
@@ -219,9 +221,9 @@
         records: impl Iterator<Item = (UpstreamKey, LimitRecord)>,
     ) -> Vec<LimitRow> {
         let row = |(key, record): (UpstreamKey, LimitRecord)| {
-            let upstream = self.catalog.upstreams.get(key)?.name.clone();
+            let ProcessRow(upstream, started_ms) = self.process_row(key)?;
             let age_ms = record.age.as_millis() as u64;
-            Some(LimitRow { upstream, rate: record.rate, age_ms })
+            Some(LimitRow { upstream, started_ms, rate: record.rate, age_ms })
         };
         records.filter_map(row).collect()
     }
--- a/components/decisions/src/host/permits.rs
+++ b/components/decisions/src/host/permits.rs
@@ -22,6 +22,7 @@
 use crate::message::PeerMessage;
 use crate::message::PermitGrant;
 use crate::message::PermitWant;
+use crate::message::ProcessRow;
 use crate::request::RequestTarget;
 use crate::time::Moment;
 
@@ -64,8 +65,10 @@
             return LimitReport::default();
         }
         let want = |entry: WantEntry| {
+            let ProcessRow(upstream, started_ms) = self.process_row(entry.upstream)?;
             Some(PermitWant {
-                upstream: self.catalog.upstreams.get(entry.upstream)?.name.clone(),
+                upstream,
+                started_ms,
                 rank: entry.rank,
                 count: entry.count,
                 slack_ms: entry.deadline.since(now).as_millis() as u64,
@@ -136,10 +139,11 @@
             return LimitReport::default();
         };
         let want = |((key, rank), (count, deadline)): ((UpstreamKey, u8), (u32, Moment))| {
-            let record = self.catalog.upstreams.get(key).filter(|record| record.scope == scope)?;
+            self.catalog.upstreams.get(key).filter(|record| record.scope == scope)?;
+            let ProcessRow(upstream, started_ms) = self.process_row(key)?;
             let slack_ms = deadline.since(now).as_millis() as u64;
-            let (upstream, seen) = (record.name.clone(), self.limits.foreign_permits.seen(key));
-            Some(PermitWant { upstream, rank, count, slack_ms, seen })
+            let seen = self.limits.foreign_permits.seen(key);
+            Some(PermitWant { upstream, started_ms, rank, count, slack_ms, seen })
         };
         let wants: Vec<PermitWant> =
             allocator.foreign_wants().into_iter().filter_map(want).collect();
@@ -177,7 +181,7 @@
         self.merge_limits(now, &report.rows, effects);
         let entry = |want: &PermitWant| {
             Some(WantEntry {
-                upstream: self.catalog.upstream_named(&want.upstream)?,
+                upstream: self.catalog.process_named(&want.upstream, want.started_ms)?,
                 rank: want.rank,
                 count: want.count.min(MAX_PERMITS),
                 deadline: now.after(Duration::from_millis(want.slack_ms)),
@@ -227,10 +231,12 @@
             if award.host == me {
                 granted_here = true;
                 self.limits.permits.add(award.upstream, now.after(PERMIT_LIFETIME), award.count);
-            } else if let Some(record) = self.catalog.upstreams.get(award.upstream) {
+            } else if let Some(ProcessRow(upstream, started_ms)) = self.process_row(award.upstream)
+            {
                 let grant = PermitGrant {
                     epoch: self.placement.as_ref().map_or(0, |placement| placement.epoch),
-                    upstream: record.name.clone(),
+                    upstream,
+                    started_ms,
                     report: award.report,
                     serial: award.serial,
                     count: award.count,
@@ -288,8 +294,8 @@
         } else {
             self.is_peer_leader(from, grant.epoch)
         };
-        let Some(upstream) = self.catalog.upstream_named(&grant.upstream).filter(|_| from_leader)
-        else {
+        let process = self.catalog.process_named(&grant.upstream, grant.started_ms);
+        let Some(upstream) = process.filter(|_| from_leader) else {
             return;
         };
         let count = grant.count.min(MAX_PERMITS);
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use wagtailledge_inventory::AssetKey;
+use wagtailledge_inventory::UpstreamKey;
 
 use crate::effect::HostEffect;
 use crate::identity::HostIdentity;
 use crate::message::DemandNotice;
 use crate::message::LeaderNotice;
 use crate::message::PeerMessage;
+use crate::message::ProcessRow;
 use crate::message::TableUpdate;
 use crate::request::RequestTarget;
 use crate::routing::TableRange;
@@ -126,6 +128,13 @@
         }
     }
 
+    /// Name and start time of the process of an upstream that has a record.
+    pub(super) fn process_row(&self, upstream: UpstreamKey) -> Option<ProcessRow> {
+        let process = self.catalog.process(upstream)?;
+        let is_present = self.catalog.upstreams.contains_key(upstream);
+        is_present.then(|| ProcessRow(process.name.clone(), process.started_ms))
+    }
+
     pub(super) fn asset_name(&self, asset: AssetKey) -> Option<String> {
         self.catalog.assets.get(asset).map(|record| record.name.clone())
     }
@@ -151,6 +160,7 @@
         let suspects = std::mem::take(&mut self.suspects);
         let limits = self.limit_report(now);
         let name_of = |key| self.catalog.upstreams.get(key).map(|record| record.name.clone());
+        let leaving = self.members.leaving_unlisted(&self.catalog);
         let notice = DemandNotice {
             epoch: leader.epoch,
             revision: self.catalog.revision,
@@ -160,7 +170,7 @@
             used: to_usage_rows(&self.catalog, usage),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
-            leaving: self.members.leaving_unlisted(&self.catalog).filter_map(name_of).collect(),
+            leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
             draining: self.draining,
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
@@ -262,8 +272,8 @@
         if from.scope != self.me.scope || self.placement.is_none() {
             return;
         }
-        for name in &notice.leaving {
-            if let Some(upstream) = self.catalog.upstream_named(name) {
+        for ProcessRow(name, started_ms) in &notice.leaving {
+            if let Some(upstream) = self.catalog.process_named(name, *started_ms) {
                 self.upstream_leaves(now, upstream, effects);
             }
         }
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -87,12 +87,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRow(pub String, pub u32, pub u64);
 
+/// Process of an upstream: the upstream's name, and when the process started by its own clock; 0 if
+/// that is not known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessRow(pub String, pub u64);
+
 /// Limit of one upstream, as the sender knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitRow {
     /// Name of the upstream.
     #[serde(rename = "u")]
     pub upstream: String,
+    /// When the upstream's process started, by its own clock; 0 if the sender does not say.
+    #[serde(rename = "b", default)]
+    pub started_ms: u64,
     /// The limit; `None` if the upstream lifted it.
     #[serde(rename = "l")]
     pub rate: Option<RequestRate>,
@@ -133,6 +141,9 @@
     /// Name of the upstream.
     #[serde(rename = "u")]
     pub upstream: String,
+    /// When the upstream's process started, by its own clock; 0 if the sender does not say.
+    #[serde(rename = "b", default)]
+    pub started_ms: u64,
     /// Rank of the requests; the lowest is served first.
     #[serde(rename = "p")]
     pub rank: u8,
@@ -176,6 +187,9 @@
     pub epoch: u64,
     /// Name of the upstream.
     pub upstream: String,
+    /// When the upstream's process started, by its own clock; 0 if the sender does not say.
+    #[serde(default)]
+    pub started_ms: u64,
     /// Number of the receiver's report that they are granted for.
     pub report: u64,
     /// Number of the last of these permits, counted for this receiver and upstream.
@@ -234,9 +248,9 @@
     /// Limits of upstreams and permits that the sender waits for.
     #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
     pub limits: LimitReport,
-    /// Names of the upstreams that said that they are leaving, though their entries do not.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub leaving: Vec<String>,
+    /// Upstreams that said that they are leaving, though their entries do not.
+    #[serde(rename = "departing", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<ProcessRow>,
     /// Whether the sender is draining and must not be named as a successor any more.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub draining: bool,
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -21,6 +21,7 @@
 use wagtailledge_decisions::limits::LimitNotice;
 use wagtailledge_decisions::limits::RequestRate;
 use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::LimitRow;
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
@@ -278,6 +279,15 @@
     }
 }
 
+#[test]
+fn can_read_limits_of_hosts_whose_build_names_no_processes() {
+    let row: LimitRow = serde_json::from_str("{\"u\":\"registered\",\"l\":100,\"a\":5}").unwrap();
+    let mut reader = EntryReader::new();
+    let limits = LimitTable { grants: true, rows: vec![row], waits: Vec::new() };
+    reader.host.receive(PeerMessage::Leader(leader_notice(limits)));
+    assert_eq!(reader.requests_to_registered(), 0, "no permit");
+}
+
 /// Latest report of the host to its leader.
 fn last_report(host: &TestHost) -> PeerMessage {
     let report = |effect: &HostEffect| match effect {
@@ -290,6 +300,19 @@
     host.effects.iter().rev().find_map(report).expect("the host reported")
 }
 
+fn leader_notice(limits: LimitTable) -> LeaderNotice {
+    LeaderNotice {
+        epoch: 1,
+        successors: Vec::new(),
+        revision: 1,
+        update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
+        registry: RegistryUpdate::default(),
+        declined: Vec::new(),
+        limits,
+        hosts: 2,
+    }
+}
+
 /// A leader that knows the entry of one process, told by a host what that or an earlier process said.
 fn told_leader(
     leader_knows: u64,
@@ -298,16 +321,7 @@
 ) -> TestLeader {
     let mut reader = EntryReader::new();
     reader.put_entry(host_knows, ListedState::Live);
-    reader.host.receive(PeerMessage::Leader(LeaderNotice {
-        epoch: 1,
-        successors: Vec::new(),
-        revision: 1,
-        update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
-        registry: RegistryUpdate::default(),
-        declined: Vec::new(),
-        limits: LimitTable::default(),
-        hosts: 2,
-    }));
+    reader.host.receive(PeerMessage::Leader(leader_notice(LimitTable::default())));
     let event = statement(reader.key(), reader.host.now);
     reader.host.submit(event);
     reader.host.advance(1_000);
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -116,6 +116,7 @@
     PeerMessage::Permit(PermitGrant {
         epoch: 1,
         upstream: "llm".to_owned(),
+        started_ms: 0,
         report,
         serial,
         count: 1,
@@ -158,6 +159,7 @@
     host.receive(PeerMessage::Permit(PermitGrant {
         epoch: 0,
         upstream: "llm".to_owned(),
+        started_ms: 0,
         report: number,
         serial: 2,
         count: 1,
@@ -197,7 +199,7 @@
 #[test]
 fn can_refuse_at_once_when_a_permit_would_come_too_late() {
     let mut host = waiting_host();
-    let row = LimitRow { upstream: "llm".to_owned(), rate: Some(ONE), age_ms: 0 };
+    let row = LimitRow { upstream: "llm".to_owned(), started_ms: 0, rate: Some(ONE), age_ms: 0 };
     let limits = LimitTable {
         grants: true,
         rows: vec![row],
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -168,7 +168,7 @@
         slack_ms: u64,
     ) {
         let upstream = upstream.to_owned();
-        let want = PermitWant { upstream, rank, count, slack_ms, seen: 0 };
+        let want = PermitWant { upstream, started_ms: 0, rank, count, slack_ms, seen: 0 };
         let notice = DemandNotice {
             epoch: self.reducer.status(self.now).epoch,
             revision: 1,
--- a/components/decisions/tests/upstream_notices.rs
+++ b/components/decisions/tests/upstream_notices.rs
@@ -9,6 +9,7 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::ProcessRow;
 use wagtailledge_decisions::request::RefusalOutcome;
 use wagtailledge_decisions::request::RefusalReason;
 use wagtailledge_decisions::request::RequestRepeat;
@@ -84,8 +85,8 @@
         },
         _ => None,
     };
-    let told: Vec<Vec<String>> = host.effects.iter().filter_map(leaving).collect();
-    assert_eq!(told.last(), Some(&vec!["llm".to_owned()]));
+    let told: Vec<Vec<ProcessRow>> = host.effects.iter().filter_map(leaving).collect();
+    assert_eq!(told.last(), Some(&vec![ProcessRow("llm".to_owned(), 0)]));
 }
 
 #[test]
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -169,11 +169,24 @@
         key.filter(|key| self.upstreams.contains_key(*key))
     }
 
+    /// The process with this key, even if its upstream has no record now.
+    pub fn process(&self, key: UpstreamKey) -> Option<&UpstreamProcess> {
+        self.processes.get(key)
+    }
+
     /// Latest process of the upstream with this name, even if the upstream has no record now.
     pub fn process_of(&self, name: &str) -> Option<&UpstreamProcess> {
         self.processes.get(*self.process_names.get(name)?)
     }
 
+    /// Process of the upstream with this name that started at `started_ms`, even if the upstream has no
+    /// record now. Where either start is [`UNDATED`], the name decides.
+    pub fn process_named(&self, name: &str, started_ms: u64) -> Option<UpstreamKey> {
+        let key = *self.process_names.get(name)?;
+        let known = self.processes[key].started_ms;
+        (known == started_ms || known == UNDATED || started_ms == UNDATED).then_some(key)
+    }
+
     /// Whether the process of an upstream is known, even if the upstream has no record now.
     pub fn has_process(&self, key: UpstreamKey) -> bool {
         self.processes.contains_key(key)
