Read what engines say in answers to orders and in reports

An engine that says in the answer to an order, or in its report, that it is leaving got the request that the order was for.

Cause: these answers were decoded for their outcome only; what they say about the engine was logged since and read by nobody. It is now submitted like that of any other answer, before the outcome, so that the plan that follows knows it.

--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -164,8 +164,8 @@
     OrderOutcome(OrderKey, OrderOutcome),
     /// An upstream reported its load.
     LoadReport(UpstreamKey, UpstreamLoad),
-    /// An answer of an upstream says whether it limits requests; the moment is when the request was
-    /// dispatched.
+    /// An answer of an upstream says whether it limits requests; the moment is when the request or
+    /// order was sent.
     LimitStatement(UpstreamKey, Moment, LimitNotice),
     /// An answer of an upstream says that it is leaving.
     LeavingReport(UpstreamKey),
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -186,7 +186,7 @@
         upstreams.call(call, &mut on_event).await
     }
 
-    /// Submits what the answer to a request, dispatched at `dispatched`, says about its upstream.
+    /// Submits what the answer to a request or order, sent at `dispatched`, says about its upstream.
     pub(crate) fn submit_statement(
         self: &Rc<Self>,
         upstream: UpstreamKey,
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -126,6 +126,7 @@
         let upstream = target.upstream.clone();
         let request = OrderRequest { token, expected: order.expected, order: order.kind };
         let described = describe_order(&request.order);
+        let dispatched = self.now();
         let reply = self.parts.orders.send(target, request, may_write);
         let shell = Rc::clone(self);
         actix_rt::spawn(async move {
@@ -134,6 +135,7 @@
                 shell.parts.metrics.count("order.not_sent");
             }
             log_order(&shell.identity.name, &upstream, &described, order.expected, &reply);
+            shell.submit_statement(order.upstream, dispatched, &reply.statement);
             shell.submit(HostEvent::OrderOutcome(order.key, reply.outcome));
         });
     }
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 pub use engine::EventNumbering;
 pub use engine::FleetEngine;
+pub use engine::LeavingAnswers;
 pub use engine::RunRecord;
 pub use engine::StreamEnd;
 pub use service::FleetService;
