Keep the lost orders of an engine while its entry is missing

A leader that had lost the answer to an order claimed the engine 0.5 s later if its entry lapsed and returned in between, where 3 s must pass, and with the same fencing token, so that the lost order could still load a model into memory that the leader took for free.

Engines that count their orders are safe without it, as the expected number refuses the late order.

can_keep_the_fencing_term_of_an_engine_whose_entry_lapsed_and_returned and can_wait_for_a_lost_order_of_an_engine_whose_entry_lapsed_and_returned failed before (equal tokens; claimed after 500 ms) and pass.

--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -136,6 +136,14 @@
 }
 
 impl EngineState {
+    /// Reduces the state to what must be known if the engine returns: the orders that it may still
+    /// carry out. `None` if there are none, and none were lost in this term.
+    pub fn into_orders(self) -> Option<Self> {
+        let Self { open_order, fencing_term, uncertain_until, .. } = self;
+        let orders = Self { open_order, fencing_term, uncertain_until, ..Self::default() };
+        (orders.open_order.is_some() || fencing_term > 0).then_some(orders)
+    }
+
     /// The state that a plan depends on: claimed, unresponsive, unknown assets, and replica phases.
     pub fn plan_inputs(&self) -> (bool, bool, usize, Vec<(AssetKey, ReplicaPhase)>) {
         let phases = self.replicas.iter().map(|(asset, replica)| (*asset, replica.phase));
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -94,6 +94,7 @@
             return;
         };
         let Some(engine) = self.engines.get_mut(upstream) else {
+            self.apply_to_departed(context, upstream, key, &outcome);
             return;
         };
         let Some(open) = engine.open_order.take_if(|open| open.key == key) else {
@@ -134,6 +135,23 @@
         }
     }
 
+    /// Applies the outcome of an order to an engine whose entry is missing now.
+    fn apply_to_departed(
+        &mut self,
+        context: &PlacementContext<'_>,
+        upstream: UpstreamKey,
+        key: OrderKey,
+        outcome: &OrderOutcome,
+    ) {
+        let Some(engine) = self.departed.get_mut(upstream) else {
+            return;
+        };
+        let open = engine.open_order.take_if(|open| open.key == key);
+        if let (Some(open), OrderOutcome::Lost) = (open, outcome) {
+            Self::apply_lost(engine, context, upstream, open);
+        }
+    }
+
     /// The engine accepted the order and carries it out after all orders accepted before it.
     fn apply_started(
         &mut self,
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -93,6 +93,8 @@
     /// When this leader's term began.
     pub(super) started: Moment,
     pub(super) engines: SecondaryMap<UpstreamKey, EngineState>,
+    /// Engines whose entries are missing, reduced to the orders that they may still carry out.
+    pub(super) departed: SecondaryMap<UpstreamKey, EngineState>,
     /// Pending orders, at most one for each engine.
     pub(super) orders: SlotMap<OrderKey, UpstreamKey>,
     /// Demand reported by this scope's hosts.
@@ -128,6 +130,7 @@
             epoch,
             started: now,
             engines: SecondaryMap::new(),
+            departed: SecondaryMap::new(),
             orders: SlotMap::with_key(),
             host_demand: DemandTable::default(),
             scope_demand: DemandTable::default(),
@@ -196,12 +199,20 @@
                 catalog.upstreams.get(key).is_some_and(|record| record.scope == context.scope);
             in_scope && context.members.upstream_exists(catalog, key)
         };
-        self.engines.retain(|key, _| exists(key));
+        let missing: Vec<UpstreamKey> = self.engines.keys().filter(|key| !exists(*key)).collect();
+        for key in missing {
+            let orders = self.engines.remove(key).and_then(EngineState::into_orders);
+            if let Some(engine) = orders {
+                self.departed.insert(key, engine);
+            }
+        }
+        self.departed.retain(|key, _| catalog.has_process(key));
         self.usage.retain(|asset| catalog.assets.contains_key(asset));
         for key in catalog.engines_in(context.scope) {
             if exists(key) && !self.engines.contains_key(key) {
                 let next_claim_at = self.first_claim(context, key);
-                self.engines.insert(key, EngineState { next_claim_at, ..EngineState::default() });
+                let engine = self.departed.remove(key).unwrap_or_default();
+                self.engines.insert(key, EngineState { next_claim_at, ..engine });
             }
         }
         self.invalidate_claims(catalog);
--- a/components/decisions/tests/engines.rs
+++ b/components/decisions/tests/engines.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use support::leader::TestLeader;
+use support::leader::engine_entry;
 use support::leader::engine_report;
 use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::event::RegistryChange;
+use wagtailledge_decisions::order::EngineReport;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
 
@@ -219,3 +223,59 @@
         "five requests wait for it, one for the other"
     );
 }
+
+/// Report of an engine that does not count orders.
+fn uncounted_report(assets: &[&str]) -> OrderOutcome {
+    match engine_report(0, false, assets) {
+        OrderOutcome::Accepted(report) => {
+            OrderOutcome::Accepted(EngineReport { sequence: None, ..report })
+        }
+        other => other,
+    }
+}
+
+/// Removes the entry of the engine and writes it again for the same process.
+fn lapse_entry(leader: &mut TestLeader, revision: u64) {
+    let change = RegistryChange::Absent("llm-1".to_owned(), revision);
+    leader.submit(HostEvent::Registry(vec![change]));
+    leader.advance(500);
+    leader.submit(engine_entry(revision + 1));
+}
+
+#[test]
+fn can_keep_the_fencing_term_of_an_engine_whose_entry_lapsed_and_returned() {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    leader.answer(&OrderKind::Claim, uncounted_report(&[]));
+    leader.request_model("heat");
+    assert_eq!(leader.wait_for_order(1_000), Some(load("heat")));
+    let lost = leader.next_order().unwrap();
+    leader.submit(HostEvent::OrderOutcome(lost.key, OrderOutcome::Lost));
+    lapse_entry(&mut leader, 2);
+    assert_eq!(leader.wait_for_order(5_000), Some(OrderKind::Claim));
+    let claim = leader.next_order().unwrap();
+    assert!(claim.token > lost.token, "the engine would still carry out the lost order");
+}
+
+#[test]
+fn can_wait_for_a_lost_order_of_an_engine_whose_entry_lapsed_and_returned() {
+    let inventory = INVENTORY.replace("checks_tokens = true", "checks_tokens = false");
+    for lost_meanwhile in [false, true] {
+        let mut leader = TestLeader::with_engine(&inventory, "llm");
+        leader.answer(&OrderKind::Claim, uncounted_report(&[]));
+        leader.request_model("heat");
+        assert_eq!(leader.wait_for_order(1_000), Some(load("heat")));
+        let order = leader.next_order().unwrap();
+        if !lost_meanwhile {
+            leader.submit(HostEvent::OrderOutcome(order.key, OrderOutcome::Lost));
+        }
+        let lost_at = leader.host.now;
+        lapse_entry(&mut leader, 2);
+        if lost_meanwhile {
+            leader.submit(HostEvent::OrderOutcome(order.key, OrderOutcome::Lost));
+        }
+        assert_eq!(leader.wait_for_order(8_000), Some(OrderKind::Claim));
+        let waited = leader.host.now.since(lost_at);
+        let lifetime = TimingRules::default().order_lifetime;
+        assert!(waited >= lifetime, "claimed {waited:?} after the order was lost");
+    }
+}
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -59,20 +59,7 @@
     /// Creates the same host before its first tick, so before it reads the lease.
     pub fn before_election(inventory: &str, service: &str) -> Self {
         let mut host = TestHost::with_inventory(inventory);
-        let engine = RegisteredUpstream {
-            name: "llm-1".to_owned(),
-            service: service.to_owned(),
-            scope: "east".to_owned(),
-            zone: "east".to_owned(),
-            address: "127.0.0.1:9001".to_owned(),
-            slots: 64,
-            started_ms: 1,
-            state: ListedState::Live,
-            remaining: None,
-            revision: 1,
-            report: None,
-        };
-        host.submit(HostEvent::Registry(vec![RegistryChange::Present(Box::new(engine))]));
+        host.submit(engine_entry_of(service, 1));
         Self {
             host,
             store: BTreeMap::new(),
@@ -212,6 +199,27 @@
     }
 }
 
+/// Event that brings the entry of the engine of service `llm`, at this revision.
+pub fn engine_entry(revision: u64) -> HostEvent {
+    engine_entry_of("llm", revision)
+}
+
+fn engine_entry_of(service: &str, revision: u64) -> HostEvent {
+    HostEvent::Registry(vec![RegistryChange::Present(Box::new(RegisteredUpstream {
+        name: "llm-1".to_owned(),
+        service: service.to_owned(),
+        scope: "east".to_owned(),
+        zone: "east".to_owned(),
+        address: "127.0.0.1:9001".to_owned(),
+        slots: 64,
+        started_ms: 1,
+        state: ListedState::Live,
+        remaining: None,
+        revision,
+        report: None,
+    }))])
+}
+
 /// Report of an engine that has accepted `sequence` orders and serves `assets`.
 pub fn engine_report(sequence: u64, busy: bool, assets: &[&str]) -> OrderOutcome {
     let serving = |asset: &&str| ResidentAsset {
