--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::quickcheck;
 use support::TestHost;
 use support::identity;
 use support::leader::TestLeader;
@@ -132,7 +135,9 @@
 /// Sends [`REQUESTS`] requests one after the other; returns how many the registered instance got.
 fn requests_to_registered(host: &mut TestHost) -> usize {
     let service = host.reducer.catalog().service_named("vents").unwrap();
-    let registered = host.reducer.catalog().upstream_named(REGISTERED).unwrap();
+    let Some(registered) = host.reducer.catalog().upstream_named(REGISTERED) else {
+        return 0;
+    };
     let first = host.dispatches().len();
     for index in first..first + REQUESTS {
         let target = RequestTarget::Service(service);
@@ -253,6 +258,77 @@
     assert_eq!(reader.requests_to_registered(), 0);
 }
 
+/// Something that happens to the registered instance or its entry.
+#[derive(Debug, Clone, Copy)]
+enum EntryStep {
+    /// The process writes its entry, which says whether it is leaving.
+    Write { leaving: bool },
+    /// Another writer leaves an entry without a start time.
+    WriteUndated,
+    /// The entry is removed.
+    Remove,
+    /// Another process starts and writes its entry.
+    Restart,
+    /// An answer of the latest process says that it is leaving.
+    Say,
+    /// A late answer of the process before says that that one is leaving.
+    SayLate,
+}
+
+impl Arbitrary for EntryStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 12 {
+            0..=3 => Self::Write { leaving: false },
+            4 => Self::Write { leaving: true },
+            5 => Self::WriteUndated,
+            6..=8 => Self::Remove,
+            9 => Self::Restart,
+            10 => Self::Say,
+            _ => Self::SayLate,
+        }
+    }
+}
+
+quickcheck! {
+    fn can_send_requests_only_to_processes_that_never_said_they_leave(steps: Vec<EntryStep>) -> bool {
+        let mut reader = EntryReader::new();
+        let mut keys = vec![reader.key()];
+        let (mut is_present, mut leaves) = (true, false);
+        for step in steps {
+            let started_ms = keys.len() as u64;
+            match step {
+                EntryStep::Write { leaving } => {
+                    let state = if leaving { ListedState::Leaving } else { ListedState::Live };
+                    reader.put_entry(started_ms, state);
+                    (is_present, leaves) = (true, leaves || leaving);
+                }
+                EntryStep::WriteUndated => reader.put_entry(0, ListedState::Live),
+                EntryStep::Remove => {
+                    reader.remove_entry();
+                    is_present = false;
+                }
+                EntryStep::Restart => {
+                    reader.put_entry(started_ms + 1, ListedState::Live);
+                    keys.push(reader.key());
+                    (is_present, leaves) = (true, false);
+                }
+                EntryStep::Say => {
+                    reader.host.submit(HostEvent::LeavingReport(keys[keys.len() - 1]));
+                    leaves = true;
+                }
+                EntryStep::SayLate if keys.len() > 1 => {
+                    reader.host.submit(HostEvent::LeavingReport(keys[keys.len() - 2]));
+                }
+                EntryStep::SayLate => {}
+            }
+            if (reader.requests_to_registered() > 0) != (is_present && !leaves) {
+                return false;
+            }
+        }
+        true
+    }
+}
+
 #[test]
 fn can_forget_the_process_of_an_entry_that_is_missing_for_hours() {
     let mut reader = EntryReader::new();
