End the authority of a leader for good once it sends the end of its lease

Two hosts could order in one scope (fuzz).

The store is out from 10.3 s, links lose and repeat messages, south-0 asks its successors for promises. The store comes back at 11.7 s. At 12.944 s south-0 drains: it sets its authority to zero and writes the record as ended; the write is stored and its answer lost. A promise of a round that it had asked for before arrives and sets the authority again. It orders until 15.0 s; south-1 reads the ended record, needs no release for that, takes over at 15.392 s and orders at 15.399 s.

Hypotheses were that a record with fewer successors is stored whose answer is lost (refuted: promises of both lists are required, and none if one is empty), and this one, which the test of the lease alone shows.

A lease that may have ended collects no promises any more until a later write is confirmed or a newer version of its own record is read, which rules the ended one out. The same when a leader yields to a larger host.

--- a/components/decisions/src/lease/holder.rs
+++ b/components/decisions/src/lease/holder.rs
@@ -37,6 +37,9 @@
     pub renewed_at: Moment,
     /// A record sent but not confirmed. It may be stored, so its successors may be in force.
     pub unconfirmed: Option<LeaseRecord>,
+    /// Whether a record that ends the lease was sent for `version` and may be stored. No promise
+    /// extends the authority then, because a candidate needs none to take over.
+    may_have_ended: bool,
     rounds: BTreeMap<u64, PromiseRound>,
     last_round: u64,
 }
@@ -51,6 +54,7 @@
             acquired_at: sent,
             renewed_at: sent,
             unconfirmed: None,
+            may_have_ended: false,
             rounds: BTreeMap::new(),
             last_round: 0,
         }
@@ -75,6 +79,21 @@
         next
     }
 
+    /// Ends the authority, because a record that ends the lease is about to be sent.
+    pub fn end_authority(&mut self) {
+        self.authority_until = Moment::default();
+        self.may_have_ended = true;
+    }
+
+    /// Records that the stored record is this lease's, though an answer to its write was lost.
+    pub fn observe_write(&mut self, record: LeaseRecord, version: u64) {
+        // A write for the version before can't be stored any more.
+        self.may_have_ended &= version == self.version;
+        self.record = record;
+        self.version = version;
+        self.unconfirmed = None;
+    }
+
     /// Records that a write sent at `sent` succeeded, and extends the authority.
     pub fn confirm_write(
         &mut self,
@@ -86,6 +105,7 @@
         self.record = record;
         self.version = version;
         self.unconfirmed = None;
+        self.may_have_ended = false;
         self.renewed_at = self.renewed_at.max(sent);
         let until = sent.after(timing.lease_authority());
         self.authority_until = self.authority_until.max(until);
@@ -95,7 +115,7 @@
     /// Successors that must all promise for an extension; `None` if no extension is possible.
     fn required_successors(&self) -> Option<Vec<HostIdentity>> {
         let mut union = self.record.successors.clone();
-        if union.is_empty() {
+        if union.is_empty() || self.may_have_ended {
             return None;
         }
         if let Some(unconfirmed) = &self.unconfirmed {
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -196,7 +196,7 @@
         if self.draining || yields {
             record.ended = true;
             // No order may be sent once the record is marked as ended.
-            held.authority_until = Moment::default();
+            held.end_authority();
             call = LeaseCall::Release;
         }
         let expected = held.version;
@@ -411,9 +411,7 @@
         match record {
             Some(record) if still_held => {
                 // An earlier renewal was stored although its answer was lost.
-                held.record = record;
-                held.version = version;
-                held.unconfirmed = None;
+                held.observe_write(record, version);
                 self.next_call = context.now;
             }
             record => {
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use support::leader::TestLeader;
+use wagtailledge_decisions::HostEffect;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::TimingRules;
 use wagtailledge_decisions::discovery::RegistryUpdate;
@@ -151,3 +152,57 @@
         leader.answer_store_calls(1);
     }
 }
+
+/// Lets the host hear from `east-2`, so that it stays a reachable successor.
+fn hear_from_successor(leader: &mut TestLeader) {
+    leader.host.receive(PeerMessage::LeaderHint { leader: None });
+}
+
+/// Latest request of the leader for a promise: its epoch and the number of its round.
+fn last_promise_request(leader: &TestLeader) -> Option<(u64, u64)> {
+    let request = |effect: &HostEffect| match effect {
+        HostEffect::Send(_, message) => match message.as_ref() {
+            PeerMessage::PromiseRequest { epoch, round, .. } => Some((*epoch, *round)),
+            _ => None,
+        },
+        _ => None,
+    };
+    leader.host.effects.iter().rev().find_map(request)
+}
+
+#[test]
+fn can_have_no_authority_by_a_promise_that_arrives_after_the_lease_was_released() {
+    for yields in [false, true] {
+        let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+        while stored_lease(&leader).successors.is_empty() {
+            hear_from_successor(&mut leader);
+            leader.advance(10);
+        }
+        leader.set_away(true);
+        while last_promise_request(&leader).is_none() {
+            hear_from_successor(&mut leader);
+            leader.advance(10);
+        }
+        let (epoch, round) = last_promise_request(&leader).unwrap();
+        leader.set_away(false);
+        leader.lose_answers(true);
+        if yields {
+            leader.list_host("east-2", 500);
+        } else {
+            leader.submit(HostEvent::Drain);
+        }
+        while !stored_lease(&leader).ended {
+            leader.advance(10);
+        }
+        leader.host.receive(PeerMessage::Promise { epoch, round });
+        assert!(!leader.host.reducer.has_authority(leader.host.now), "yields: {yields}");
+        // Later rounds do not extend it either, as the stored record allows a takeover at once.
+        for _ in 0..300 {
+            if let Some((epoch, round)) = last_promise_request(&leader) {
+                leader.host.receive(PeerMessage::Promise { epoch, round });
+            }
+            leader.advance(10);
+            assert!(!leader.host.reducer.has_authority(leader.host.now), "yields: {yields}");
+        }
+    }
+}
--- a/components/fuzzer/tests/promises.rs
+++ b/components/fuzzer/tests/promises.rs
@@ -15,13 +15,14 @@
 /// Seeds of scripts that once broke promises, with the names of these promises. Later extensions of
 /// the simulation may keep the first four scripts from reaching their faults, which have tests and
 /// mutations of their own.
-const REGRESSIONS: [(u64, &str); 6] = [
+const REGRESSIONS: [(u64, &str); 7] = [
     (5, "not run is true; replicas"),
     (22, "memory"),
     (216, "recovery"),
     (524, "leaving upstreams"),
     (148, "replicas"),
     (60, "whole stream"),
+    (910_018, "one leader"),
 ];
 
 fn keeps_promises(script: FuzzScript) -> TestResult {
