Keep what a process said while a late heartbeat of the one before has its entry

An engine that had said that it leaves got 18 of 40 requests after a late heartbeat of the process before it, under the same name, had been read between two of its own.

Cause: the catalog remembered one process for each name, the last one, so the late heartbeat counted as a restart and the next one of the engine as another, and both were new.

--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -111,8 +111,7 @@
         let RegistryChange::Present(upstream) = change else {
             return false;
         };
-        let process = self.catalog.process_of(&upstream.name);
-        upstream.started_ms == UNDATED && process.is_some_and(|known| known.started_ms != UNDATED)
+        upstream.started_ms == UNDATED && self.catalog.has_dated_process(&upstream.name)
     }
 
     /// Applies an update of the registered upstreams from this host's leader.
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -247,6 +247,16 @@
     assert!(reader.requests_to_registered() > 0);
 }
 
+#[test]
+fn can_send_nothing_new_to_a_leaving_upstream_after_a_late_heartbeat_of_the_process_before() {
+    let mut reader = EntryReader::new();
+    reader.put_entry(2, ListedState::Live);
+    reader.host.submit(HostEvent::LeavingReport(reader.key()));
+    reader.put_entry(1, ListedState::Live);
+    reader.put_entry(2, ListedState::Live);
+    assert_eq!(reader.requests_to_registered(), 0);
+}
+
 #[test]
 fn can_send_nothing_new_to_a_leaving_upstream_whose_service_was_not_configured_meanwhile() {
     let mut reader = EntryReader::new();
@@ -263,6 +273,8 @@
 enum EntryStep {
     /// The process writes its entry, which says whether it is leaving.
     Write { leaving: bool },
+    /// A late heartbeat of the process before brings back its entry.
+    WriteLate { leaving: bool },
     /// Another writer leaves an entry without a start time.
     WriteUndated,
     /// The entry is removed.
@@ -275,15 +287,25 @@
     SayLate,
 }
 
+/// Start time of the process with this index.
+fn start_of(process: usize) -> u64 {
+    process as u64 + 1
+}
+
+fn listed_state(leaving: bool) -> ListedState {
+    if leaving { ListedState::Leaving } else { ListedState::Live }
+}
+
 impl Arbitrary for EntryStep {
     fn arbitrary(g: &mut Gen) -> Self {
-        match u8::arbitrary(g) % 12 {
+        match u8::arbitrary(g) % 14 {
             0..=3 => Self::Write { leaving: false },
             4 => Self::Write { leaving: true },
-            5 => Self::WriteUndated,
-            6..=8 => Self::Remove,
-            9 => Self::Restart,
-            10 => Self::Say,
+            5 => Self::WriteLate { leaving: bool::arbitrary(g) },
+            6 => Self::WriteUndated,
+            7..=9 => Self::Remove,
+            10..=11 => Self::Restart,
+            12 => Self::Say,
             _ => Self::SayLate,
         }
     }
@@ -293,35 +315,45 @@
     fn can_send_requests_only_to_processes_that_never_said_they_leave(steps: Vec<EntryStep>) -> bool {
         let mut reader = EntryReader::new();
         let mut keys = vec![reader.key()];
-        let (mut is_present, mut leaves) = (true, false);
+        let mut leaves = vec![false];
+        // Index of the process whose entry is there.
+        let mut present = Some(0);
         for step in steps {
-            let started_ms = keys.len() as u64;
+            let latest = keys.len() - 1;
             match step {
                 EntryStep::Write { leaving } => {
-                    let state = if leaving { ListedState::Leaving } else { ListedState::Live };
-                    reader.put_entry(started_ms, state);
-                    (is_present, leaves) = (true, leaves || leaving);
+                    reader.put_entry(start_of(latest), listed_state(leaving));
+                    leaves[latest] |= leaving;
+                    present = Some(latest);
+                }
+                EntryStep::WriteLate { leaving } if latest > 0 => {
+                    reader.put_entry(start_of(latest - 1), listed_state(leaving));
+                    leaves[latest - 1] |= leaving;
+                    present = Some(latest - 1);
                 }
                 EntryStep::WriteUndated => reader.put_entry(0, ListedState::Live),
                 EntryStep::Remove => {
                     reader.remove_entry();
-                    is_present = false;
+                    present = None;
                 }
                 EntryStep::Restart => {
-                    reader.put_entry(started_ms + 1, ListedState::Live);
+                    reader.put_entry(start_of(latest + 1), ListedState::Live);
                     keys.push(reader.key());
-                    (is_present, leaves) = (true, false);
+                    leaves.push(false);
+                    present = Some(latest + 1);
                 }
                 EntryStep::Say => {
-                    reader.host.submit(HostEvent::LeavingReport(keys[keys.len() - 1]));
-                    leaves = true;
+                    reader.host.submit(HostEvent::LeavingReport(keys[latest]));
+                    leaves[latest] = true;
                 }
-                EntryStep::SayLate if keys.len() > 1 => {
-                    reader.host.submit(HostEvent::LeavingReport(keys[keys.len() - 2]));
+                EntryStep::SayLate if latest > 0 => {
+                    reader.host.submit(HostEvent::LeavingReport(keys[latest - 1]));
+                    leaves[latest - 1] = true;
                 }
-                EntryStep::SayLate => {}
+                EntryStep::WriteLate { .. } | EntryStep::SayLate => {}
             }
-            if (reader.requests_to_registered() > 0) != (is_present && !leaves) {
+            let is_usable = present.is_some_and(|process| !leaves[process]);
+            if (reader.requests_to_registered() > 0) != is_usable {
                 return false;
             }
         }
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -52,6 +52,8 @@
     /// Process of each key. Contains the keys of all `upstreams`, and of processes that registered
     /// themselves, have no record now and may register again. A process never gets another key.
     processes: SlotMap<UpstreamKey, UpstreamProcess>,
+    /// Exactly the keys of `processes`, by name and start time.
+    process_keys: BTreeMap<String, BTreeMap<u64, UpstreamKey>>,
     /// Plain services and pools. A key stays valid as long as its item exists.
     pub services: SlotMap<ServiceKey, ServiceRecord>,
     /// Routes for requests that are passed through to a service.
@@ -60,8 +62,8 @@
     /// until the content is replaced.
     pub scopes: Vec<String>,
     asset_names: BTreeMap<String, AssetKey>,
-    /// Latest process of each upstream by name; exactly the keys of `processes`.
-    process_names: BTreeMap<String, UpstreamKey>,
+    /// Exactly the keys of `upstreams`, by name.
+    upstream_names: BTreeMap<String, UpstreamKey>,
     service_names: BTreeMap<String, ServiceKey>,
     /// Serving versions by public name, see [`Self::versions_of`].
     versions: BTreeMap<String, Vec<AssetKey>>,
@@ -165,8 +167,7 @@
 
     /// Finds an upstream by its unique name.
     pub fn upstream_named(&self, name: &str) -> Option<UpstreamKey> {
-        let key = self.process_names.get(name).copied();
-        key.filter(|key| self.upstreams.contains_key(*key))
+        self.upstream_names.get(name).copied()
     }
 
     /// The process with this key, even if its upstream has no record now.
@@ -174,17 +175,21 @@
         self.processes.get(key)
     }
 
-    /// Latest process of the upstream with this name, even if the upstream has no record now.
-    pub fn process_of(&self, name: &str) -> Option<&UpstreamProcess> {
-        self.processes.get(*self.process_names.get(name)?)
+    /// Whether a process of the upstream with this name is known whose start time is known.
+    pub fn has_dated_process(&self, name: &str) -> bool {
+        let keys = self.process_keys.get(name);
+        keys.is_some_and(|keys| keys.keys().any(|started_ms| *started_ms != UNDATED))
     }
 
-    /// Process of the upstream with this name that started at `started_ms`, even if the upstream has no
-    /// record now. Where either start is [`UNDATED`], the name decides.
+    /// Process of the upstream with this name that started at `started_ms`, even if it has no record
+    /// now. If that is [`UNDATED`], the process that has a record, or else the last one.
     pub fn process_named(&self, name: &str, started_ms: u64) -> Option<UpstreamKey> {
-        let key = *self.process_names.get(name)?;
-        let known = self.processes[key].started_ms;
-        (known == started_ms || known == UNDATED || started_ms == UNDATED).then_some(key)
+        let keys = self.process_keys.get(name)?;
+        if started_ms == UNDATED {
+            let last = keys.last_key_value().map(|(_, key)| *key);
+            return self.upstream_named(name).or(last);
+        }
+        keys.get(&started_ms).or_else(|| keys.get(&UNDATED)).copied()
     }
 
     /// Whether the process of an upstream is known, even if the upstream has no record now.
@@ -206,13 +211,20 @@
 
     fn remove_process(&mut self, key: UpstreamKey) {
         self.remove_record(key);
-        if let Some(process) = self.processes.remove(key) {
-            self.process_names.remove(&process.name);
+        let Some(UpstreamProcess { name, started_ms }) = self.processes.remove(key) else {
+            return;
+        };
+        if let Some(keys) = self.process_keys.get_mut(&name) {
+            keys.remove(&started_ms);
+            if keys.is_empty() {
+                self.process_keys.remove(&name);
+            }
         }
     }
 
     fn remove_record(&mut self, key: UpstreamKey) -> Option<UpstreamRecord> {
         let record = self.upstreams.remove(key)?;
+        self.upstream_names.remove(&record.name);
         if let Some(service) = record.service.and_then(|service| self.services.get_mut(service)) {
             service.instances.retain(|instance| *instance != key);
         }
@@ -436,20 +448,18 @@
         }
     }
 
-    /// Adds or updates an upstream. Another process of it, if there was one, is forgotten.
+    /// Adds or updates an upstream. Another process of it loses its record.
     fn upsert_upstream(&mut self, record: UpstreamRecord, started_ms: u64) -> UpstreamKey {
-        let known = self.process_names.get(&record.name).copied();
-        if let Some(key) = known.filter(|key| self.processes[*key].started_ms == started_ms) {
-            self.upstreams.insert(key, record);
-            return key;
-        }
-        if let Some(key) = known {
-            self.remove_process(key);
-        }
         let name = record.name.clone();
-        let key = self.processes.insert(UpstreamProcess { name: name.clone(), started_ms });
+        let keys = self.process_keys.entry(name.clone()).or_default();
+        let key = *keys.entry(started_ms).or_insert_with(|| {
+            self.processes.insert(UpstreamProcess { name: name.clone(), started_ms })
+        });
+        if let Some(other) = self.upstream_named(&name).filter(|other| *other != key) {
+            self.remove_record(other);
+        }
         self.upstreams.insert(key, record);
-        self.process_names.insert(name, key);
+        self.upstream_names.insert(name, key);
         key
     }
 
--- a/components/inventory/src/catalog/records.rs
+++ b/components/inventory/src/catalog/records.rs
@@ -61,7 +61,7 @@
 /// Start time of a process whose start is not known, and of the processes of declared upstreams.
 pub const UNDATED: u64 = 0;
 
-/// Process of an upstream, which another one under the same name may replace.
+/// Process of an upstream; others under the same name may follow it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamProcess {
     /// Name of the upstream.
