--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -685,28 +685,39 @@
     });
 }
 
+/// Sends requests for `m0` until each host has passed on an answer of the engine, or is assumed to
+/// send it none.
+async fn ask_until_told(stack: &FleetStack, engine: &FleetEngine) {
+    for host in 0..stack.hosts.len() {
+        for number in 0..MAX_ASKS {
+            let before = engine.arrivals().len();
+            ask(stack, host, "m0", &format!("told-{host}-{number}")).await;
+            if engine.arrivals().len() > before {
+                break;
+            }
+        }
+    }
+}
+
+/// Sends requests for `m0` to all hosts in turn; the engine must get none of them.
+async fn assert_nothing_new(stack: &FleetStack, engine: &FleetEngine) {
+    let before = engine.arrivals().len();
+    for number in 0..MAX_ASKS {
+        let host = number % stack.hosts.len();
+        let answer = ask(stack, host, "m0", &format!("after-{number}")).await;
+        assert_eq!(answer.status, 200, "{}", answer.head);
+    }
+    assert_eq!(engine.arrivals().len(), before);
+}
+
 #[test]
 fn can_send_nothing_new_to_an_engine_that_says_it_leaves() {
     run(async {
         let stack = ready_stack().await;
         let leaving = &stack.engines[0];
         leaving.say_leaving();
-        for host in 0..stack.hosts.len() {
-            for number in 0..MAX_ASKS {
-                let before = leaving.arrivals().len();
-                ask(&stack, host, "m0", &format!("told-{host}-{number}")).await;
-                if leaving.arrivals().len() > before {
-                    break;
-                }
-            }
-        }
-        let before = leaving.arrivals().len();
-        for number in 0..MAX_ASKS {
-            let host = number % stack.hosts.len();
-            let answer = ask(&stack, host, "m0", &format!("after-{number}")).await;
-            assert_eq!(answer.status, 200, "{}", answer.head);
-        }
-        assert_eq!(leaving.arrivals().len(), before);
+        ask_until_told(&stack, leaving).await;
+        assert_nothing_new(&stack, leaving).await;
     });
 }
 
@@ -716,26 +727,12 @@
         let stack = ready_stack().await;
         let leaving = &stack.engines[0];
         leaving.say_leaving();
-        for host in 0..stack.hosts.len() {
-            for number in 0..MAX_ASKS {
-                let before = leaving.arrivals().len();
-                ask(&stack, host, "m0", &format!("told-{host}-{number}")).await;
-                if leaving.arrivals().len() > before {
-                    break;
-                }
-            }
-        }
+        ask_until_told(&stack, leaving).await;
         stack.store.remove(&format!("servers/{}", leaving.name()));
         actix_rt::time::sleep(ENTRY_LAPSE).await;
         stack.register();
         actix_rt::time::sleep(ENTRY_LAPSE).await;
-        let before = leaving.arrivals().len();
-        for number in 0..MAX_ASKS {
-            let host = number % stack.hosts.len();
-            let answer = ask(&stack, host, "m0", &format!("after-{number}")).await;
-            assert_eq!(answer.status, 200, "{}", answer.head);
-        }
-        assert_eq!(leaving.arrivals().len(), before);
+        assert_nothing_new(&stack, leaving).await;
     });
 }
 
