Log what a change of a limit was based on, and the status of every answer

Decisions have `inputs`, filled for limits: the process, when the request of the answer was sent, or the sending host and the age of its row. The `attempt` line has the status of every answer.

--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -54,6 +54,8 @@
     pub reason: &'static str,
     /// Number of other options.
     pub alternatives: usize,
+    /// What the decision was based on, with its age or version; empty if the other fields say it.
+    pub inputs: String,
 }
 
 /// Side effect that the reducer requests from the runtime.
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -83,6 +83,7 @@
             choice: choice.to_owned(),
             reason,
             alternatives: 0,
+            inputs: String::new(),
         }));
     }
 
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -187,6 +187,7 @@
                 choice: format!("{outcome:?}"),
                 reason: reason_text(reason),
                 alternatives: 0,
+                inputs: String::new(),
             }));
             effects.push(HostEffect::Refuse(self.requests[key].ticket, refusal));
         }
@@ -257,6 +258,7 @@
                 choice: format!("after {waited} ms"),
                 reason: stage_text(request.stage),
                 alternatives: 0,
+                inputs: String::new(),
             }));
         }
         self.settle_request(key, effects);
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -233,6 +233,7 @@
             choice: self.catalog.upstreams[upstream].name.clone(),
             reason: if attempt == 1 { "least expected load" } else { "retry" },
             alternatives: candidate_count.saturating_sub(1),
+            inputs: String::new(),
         }));
         effects.push(HostEffect::Dispatch { request: key, attempt, ticket, upstream, asset, rank });
     }
--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -126,7 +126,8 @@
             return;
         }
         if self.limits.view.observe(now, upstream, dispatched, notice) {
-            self.log_limit(upstream, "named by an answer", effects);
+            let inputs = format!("request sent {} ms before", now.since(dispatched).as_millis());
+            self.log_limit(upstream, "named by an answer", inputs, effects);
             self.leader_sync.dirty = true;
             self.limits_changed(now, effects);
         }
@@ -136,6 +137,7 @@
     pub(super) fn merge_limits(
         &mut self,
         now: Moment,
+        from: &HostIdentity,
         rows: &[LimitRow],
         effects: &mut Vec<HostEffect>,
     ) {
@@ -147,7 +149,8 @@
             };
             let record = LimitRecord { rate: row.rate, age: Duration::from_millis(row.age_ms) };
             if self.limits.view.merge(now, upstream, record) {
-                self.log_limit(upstream, "announced by another host", effects);
+                let inputs = format!("from {}, {} ms old when sent", from.name, row.age_ms);
+                self.log_limit(upstream, "announced by another host", inputs, effects);
                 changed = true;
             }
         }
@@ -156,22 +159,27 @@
         }
     }
 
-    fn log_limit(
+    /// Logs the limit that is now known of a process of an upstream.
+    pub(super) fn log_limit(
         &self,
         upstream: UpstreamKey,
         reason: &'static str,
+        inputs: String,
         effects: &mut Vec<HostEffect>,
     ) {
-        let name = self.catalog.upstreams.get(upstream).map(|record| record.name.clone());
+        let process = self.catalog.process(upstream);
+        let (name, started_ms) =
+            process.map_or(("", 0), |process| (process.name.as_str(), process.started_ms));
         let rate = self.limits.view.rate(upstream);
         let choice = rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate} a second"));
         effects.push(HostEffect::LogDecision(DecisionRecord {
             kind: DecisionKind::Limit,
             ticket: None,
-            subject: name.unwrap_or_default(),
+            subject: name.to_owned(),
             choice,
             reason,
             alternatives: 0,
+            inputs: format!("process {started_ms}, {inputs}"),
         }));
     }
 
@@ -277,7 +285,7 @@
                 self.limits.waits.insert(key, waits.iter().map(wait).collect());
             }
         }
-        self.merge_limits(now, &table.rows, effects);
+        self.merge_limits(now, from, &table.rows, effects);
         let view = &self.limits.view;
         self.limits.waits.retain(|key, _| view.rate(key).is_some());
         self.refuse_without_permits(now, effects);
--- a/components/decisions/src/host/permits.rs
+++ b/components/decisions/src/host/permits.rs
@@ -178,7 +178,7 @@
         if report.number == OWN_REPORT {
             return;
         }
-        self.merge_limits(now, &report.rows, effects);
+        self.merge_limits(now, from, &report.rows, effects);
         let entry = |want: &PermitWant| {
             Some(WantEntry {
                 upstream: self.catalog.process_named(&want.upstream, want.started_ms)?,
@@ -276,6 +276,7 @@
             choice: award.host.name.clone(),
             reason: "lowest rank, earliest deadline",
             alternatives: 0,
+            inputs: String::new(),
         }));
     }
 
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -46,8 +46,8 @@
 fn log_entries(changes: Vec<(String, String, &'static str)>, effects: &mut Vec<HostEffect>) {
     let kind = DecisionKind::Register;
     let log = |subject, choice, reason, alternatives| {
-        let ticket = None;
-        let record = DecisionRecord { kind, ticket, subject, choice, reason, alternatives };
+        let (ticket, inputs) = (None, String::new());
+        let record = DecisionRecord { kind, ticket, subject, choice, reason, alternatives, inputs };
         HostEffect::LogDecision(record)
     };
     let omitted = changes.len().saturating_sub(MAX_LOGGED_ENTRIES);
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -532,6 +532,7 @@
             choice: format!("epoch {}", held_epoch.unwrap_or(0)),
             reason,
             alternatives: 0,
+            inputs: String::new(),
         }));
         self.inventory_changed(now, effects);
     }
@@ -553,6 +554,7 @@
             choice: format!("revision {}", self.catalog.revision),
             reason: "newer revision accepted",
             alternatives: 0,
+            inputs: String::new(),
         }));
         self.reapply_engine_reports(now, effects);
         self.view.drop_unknown(&self.catalog);
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -70,7 +70,15 @@
         let subject = self.catalog.assets.get(asset).map_or("", |record| &record.name).to_owned();
         let choice =
             self.catalog.upstreams.get(engine).map_or("", |record| &record.name).to_owned();
-        let record = DecisionRecord { kind, ticket: None, subject, choice, reason, alternatives };
+        let record = DecisionRecord {
+            kind,
+            ticket: None,
+            subject,
+            choice,
+            reason,
+            alternatives,
+            inputs: String::new(),
+        };
         self.effects.push(HostEffect::LogDecision(record));
     }
 
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -12,6 +12,7 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::Moment;
 use wagtailledge_decisions::discovery::RegistryUpdate;
+use wagtailledge_decisions::effect::DecisionKind;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::ListedState;
 use wagtailledge_decisions::event::RegisteredUpstream;
@@ -123,6 +124,20 @@
     })
 }
 
+/// A notice of the leader of [`TestHost::new`] with what it publishes about limits.
+fn leader_notice(limits: LimitTable) -> LeaderNotice {
+    LeaderNotice {
+        epoch: 1,
+        successors: Vec::new(),
+        revision: 1,
+        update: TableUpdate { table: 1, since: 3, version: 3, rows: Vec::new() },
+        registry: RegistryUpdate::default(),
+        declined: Vec::new(),
+        limits,
+        hosts: 0,
+    }
+}
+
 /// A host that knows the limit of its only engine, with one request that waits for a permit.
 fn waiting_host() -> TestHost {
     let mut host = TestHost::new();
@@ -205,16 +220,7 @@
         rows: vec![row],
         waits: vec![WaitRow("llm".to_owned(), vec![(0, 2_000), (5, 7_000)])],
     };
-    host.receive(PeerMessage::Leader(LeaderNotice {
-        epoch: 1,
-        successors: Vec::new(),
-        revision: 1,
-        update: TableUpdate { table: 1, since: 3, version: 3, rows: Vec::new() },
-        registry: RegistryUpdate::default(),
-        declined: Vec::new(),
-        limits,
-        hosts: 0,
-    }));
+    host.receive(PeerMessage::Leader(leader_notice(limits)));
     assert!(host.refusals().is_empty(), "the permit comes in time");
     let summary = host.request_model("flock", 2, 6_000);
     let alarm = host.request_model("heat", 3, 6_000);
@@ -334,3 +340,27 @@
         taken * 1_000_000_000 <= now.since(start).as_micros() as u64 * rate.0
     }
 }
+
+#[test]
+fn can_log_what_a_limit_was_based_on() {
+    let mut host = TestHost::new();
+    name_limit(&mut host, LimitNotice::Limited(ONE));
+    let row = LimitRow { upstream: "llm".to_owned(), started_ms: 0, rate: None, age_ms: 0 };
+    host.advance(20);
+    host.receive(PeerMessage::Leader(leader_notice(LimitTable {
+        grants: true,
+        rows: vec![row],
+        waits: Vec::new(),
+    })));
+    let limit = |effect: &HostEffect| match effect {
+        HostEffect::LogDecision(record) if record.kind == DecisionKind::Limit => {
+            Some(record.inputs.clone())
+        }
+        _ => None,
+    };
+    let inputs: Vec<String> = host.effects.iter().filter_map(limit).collect();
+    assert_eq!(
+        inputs,
+        ["process 0, request sent 0 ms before", "process 0, from east-2, 0 ms old when sent"]
+    );
+}
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -147,13 +147,13 @@
         let shell = Rc::clone(&self);
         let mut on_event = move |event: CallEvent| -> LocalBoxFuture<'static, bool> {
             match event {
-                CallEvent::Statement(statement) => {
+                CallEvent::Statement(status, statement) => {
+                    times.borrow_mut().status = status;
                     times.borrow_mut().statement = statement;
                     shell.submit_statement(plan.upstream, plan.dispatched, &statement);
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Started(head) => {
-                    times.borrow_mut().status = head.status;
                     shell.begin_stream(plan.ticket, head.status, head.headers);
                     shell.submit(HostEvent::AttemptStarted(plan.request, plan.attempt));
                     // If the reducer did not forward the stream, no caller waits for it.
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -30,7 +30,8 @@
         subject = record.subject.as_str(),
         choice = record.choice.as_str(),
         reason = record.reason,
-        alternatives = record.alternatives;
+        alternatives = record.alternatives,
+        inputs = record.inputs.as_str();
         "{} {} -> {}",
         kind_name(record.kind),
         record.subject,
@@ -134,7 +135,7 @@
     longest_pause: Duration,
     /// Number of parts received.
     parts: u32,
-    /// HTTP status of a streamed answer; 0 until its head has arrived.
+    /// HTTP status of the answer; 0 until its head has arrived.
     pub status: u16,
     /// How the answer's body ended; `None` while it has not, or if the attempt was aborted.
     pub body_end: Option<BodyEnd>,
@@ -189,8 +190,8 @@
     let (outcome, status) = match outcome {
         AttemptOutcome::Streamed => ("streamed", times.status),
         AttemptOutcome::Answered(answer) => ("answered", answer.status),
-        AttemptOutcome::NotRun { misplaced: true } => ("not held there", 0),
-        AttemptOutcome::NotRun { misplaced: false } => ("not run", 0),
+        AttemptOutcome::NotRun { misplaced: true } => ("not held there", times.status),
+        AttemptOutcome::NotRun { misplaced: false } => ("not run", times.status),
         AttemptOutcome::Unreached => ("no connection", 0),
         AttemptOutcome::Broken | AttemptOutcome::Truncated => ("broken", times.status),
     };
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -65,8 +65,8 @@
 /// Event during an exchange.
 #[derive(Debug)]
 pub enum CallEvent {
-    /// What the head of the answer says about the upstream.
-    Statement(UpstreamStatement),
+    /// The head of the answer arrived: its HTTP status, and what it says about the upstream.
+    Statement(u16, UpstreamStatement),
     /// A streamed answer begins.
     Started(AnswerHead),
     /// Part of a streamed answer, and the id of the last complete event so far, if known.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -85,7 +85,8 @@
             Err(_elapsed) => return AttemptOutcome::Broken,
         };
         let check = self.dialect.read_head(&call, &answer.head);
-        on_event(CallEvent::Statement(check.statement)).await;
+        let status = answer.head.status.as_u16();
+        on_event(CallEvent::Statement(status, check.statement)).await;
         match check.verdict {
             HeadVerdict::Answer => {}
             HeadVerdict::Refused => return AttemptOutcome::NotRun { misplaced: false },
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Keys of the log lines about requests, in the order in which they are written.
-const KEYS: [&str; 24] = [
+const KEYS: [&str; 25] = [
     "kind",
     "host",
     "request",
@@ -14,6 +14,7 @@
     "choice",
     "reason",
     "alternatives",
+    "inputs",
     "upstream",
     "attempt",
     "outcome",
