Add failing tests for limits that are believed to have ended

What operators saw: an engine that had named a limit got far more requests, from hosts that it had told.

The simulated engines can leave their limit unnamed in a share of their answers. The oracle no longer forgets who was told when a limit changes from one rate to another, and counts from the first limit that an engine named, not from each change: it allows less than before. In a window with two limits it allows the higher one.

--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -216,6 +216,20 @@
     assert_kept(|key, dispatched| HostEvent::LimitStatement(key, dispatched, notice));
 }
 
+#[test]
+fn can_keep_the_limit_of_an_upstream_that_restarted() {
+    for lapses in [false, true] {
+        let mut reader = EntryReader::new();
+        let notice = LimitNotice::Limited(RequestRate(100));
+        reader.host.submit(HostEvent::LimitStatement(reader.key(), reader.host.now, notice));
+        if lapses {
+            reader.remove_entry();
+        }
+        reader.put_entry(2, ListedState::Live);
+        assert_eq!(reader.requests_to_registered(), 0, "lapse: {lapses}");
+    }
+}
+
 #[test]
 fn can_send_nothing_new_to_a_leaving_upstream_whose_entry_says_again_that_it_stays() {
     let mut reader = EntryReader::new();
--- a/components/fuzzer/src/world/limits.rs
+++ b/components/fuzzer/src/world/limits.rs
@@ -27,22 +27,37 @@
 #[derive(Debug, Default)]
 pub struct EngineLimit {
     rate: Option<RequestRate>,
-    /// When the engine began to name this limit.
-    named_at: u64,
-    /// When each process first received this limit in an answer.
+    /// When the engine first named a limit.
+    first_named_at: Option<u64>,
+    /// Answers that do not name the limit although it is in force, per thousand.
+    unnamed: u32,
+    /// When each process first received a limit in an answer since the engine last had none.
     told: BTreeMap<ProcessKey, u64>,
     /// Requests of the last window from processes that must keep the limit.
     counted: VecDeque<u64>,
+    /// Highest limit of the last window, as pairs of its rate and its end; the present one is `rate`.
+    earlier: VecDeque<(RequestRate, u64)>,
     arrivals: usize,
 }
 
 impl EngineLimit {
     /// Changes the limit; `None` lifts it.
     pub fn set(&mut self, now: u64, rate: Option<RequestRate>) {
-        if self.rate != rate {
-            let arrivals = self.arrivals;
-            *self = Self { rate, named_at: now, arrivals, ..Self::default() };
+        if self.rate == rate {
+            return;
+        }
+        match (self.rate, rate) {
+            (_, None) => self.told.clear(),
+            (Some(earlier), _) => self.earlier.push_back((earlier, now)),
+            (None, _) => {}
         }
+        self.rate = rate;
+        self.first_named_at = self.first_named_at.or(rate.map(|_| now));
+    }
+
+    /// Sets how many answers do not name the limit although it is in force, per thousand.
+    pub fn set_unnamed(&mut self, permille: u32) {
+        self.unnamed = permille;
     }
 
     /// Number of requests that have reached the engine.
@@ -57,16 +72,20 @@
     /// Counts a request. Returns the number in the current window if it exceeds the limit.
     fn record_arrival(&mut self, now: u64, process: ProcessKey) -> Option<usize> {
         self.arrivals += 1;
-        let RequestRate(rate) = self.rate?;
+        let rate = self.rate?;
         let told = self.told.get(&process).is_some_and(|at| at + REACTION_TIME <= now);
-        if !told || now < self.named_at + CONTACT_TIME {
+        if !told || self.first_named_at.is_none_or(|at| now < at + CONTACT_TIME) {
             return None;
         }
         self.counted.push_back(now);
         while self.counted.front().is_some_and(|at| at + WINDOW < now) {
             self.counted.pop_front();
         }
-        let allowed = rate * WINDOW * 3 / 2 / 1_000_000_000 + EXTRA_REQUESTS;
+        while self.earlier.front().is_some_and(|(_, until)| until + WINDOW < now) {
+            self.earlier.pop_front();
+        }
+        let RequestRate(highest) = self.earlier.iter().map(|(rate, _)| *rate).fold(rate, Ord::max);
+        let allowed = highest * WINDOW * 3 / 2 / 1_000_000_000 + EXTRA_REQUESTS;
         let count = self.counted.len();
         (count as u64 > allowed).then_some(count)
     }
@@ -88,15 +107,18 @@
 
     /// Schedules that the answer to a call, which comes after `delay`, tells the limit of its engine.
     pub(super) fn schedule_limit_notice(&mut self, call: &DispatchedCall, delay: u64) {
-        if let Some(engine) = self.engines.get(call.upstream) {
-            let notice = engine.limit.notice();
-            self.schedule_after(delay, ScheduledEvent::LimitNotice(call.clone(), notice));
-        }
+        let Some(engine) = self.engines.get(call.upstream) else {
+            return;
+        };
+        let (notice, unnamed) = (engine.limit.notice(), engine.limit.unnamed);
+        let is_named = unnamed == 0 || !self.chance(unnamed);
+        let notice = if is_named { notice } else { LimitNotice::Unlimited };
+        self.schedule_after(delay, ScheduledEvent::LimitNotice(call.clone(), notice));
     }
 
     pub(super) fn deliver_limit(&mut self, call: &DispatchedCall, notice: LimitNotice) {
         let engine = &mut self.engines[call.upstream];
-        if notice == engine.limit.notice() {
+        if notice != LimitNotice::Unlimited && engine.limit.rate.is_some() {
             let process = (call.from.slot, call.from.incarnation);
             engine.limit.told.entry(process).or_insert(self.now);
         }
--- a/components/fuzzer/src/world/scenario.rs
+++ b/components/fuzzer/src/world/scenario.rs
@@ -74,11 +74,21 @@
         self.engines[engine].limit.set(self.now, rate);
     }
 
+    /// Makes an engine leave its limit unnamed in this share of its answers, per thousand.
+    pub fn set_unnamed_limits(&mut self, engine: usize, permille: u32) {
+        self.engines[engine].limit.set_unnamed(permille);
+    }
+
     /// Number of requests that reached an engine so far.
     pub fn arrival_count(&self, engine: usize) -> usize {
         self.engines[engine].limit.arrivals()
     }
 
+    /// Zone of an engine.
+    pub fn zone_of_engine(&self, engine: usize) -> usize {
+        self.zone_of_upstream(engine)
+    }
+
     /// Index of the engine on which an asset is resident and ready; `None` if there is none.
     pub fn engine_with(&self, asset: &str) -> Option<usize> {
         self.engines.iter().position(|engine| engine.is_ready(self.now, asset))
@@ -109,6 +119,11 @@
         self.faults.loss = permille;
     }
 
+    /// Sets the longest extra delay of a message between hosts, in microseconds.
+    pub fn set_message_delay(&mut self, longest: u64) {
+        self.faults.max_extra_delay = longest;
+    }
+
     /// Makes orders take milliseconds from now on; none stays in transit for seconds.
     pub fn disable_late_orders(&mut self) {
         self.faults.late_orders = 0;
--- a/components/fuzzer/tests/limits.rs
+++ b/components/fuzzer/tests/limits.rs
@@ -46,7 +46,13 @@
 
 impl LimitedWorld {
     fn start(seed: u64, hosts: usize) -> Self {
-        let mut world = FuzzWorld::with_hosts(seed, timing(), [hosts, 0, 0, 0]);
+        Self::start_in_zones(seed, [hosts, 0, 0, 0])
+    }
+
+    /// Like [`Self::start`], with this number of hosts in each zone.
+    fn start_in_zones(seed: u64, zones: [usize; 4]) -> Self {
+        let hosts = zones.iter().sum();
+        let mut world = FuzzWorld::with_hosts(seed, timing(), zones);
         world.disable_late_orders();
         world.advance(12 * SECOND);
         let mut limited = Self { world, engine: 0, calls: 0, busy_hosts: hosts };
@@ -179,3 +185,51 @@
         assert!(used as u64 >= 10 * LOAD * 9 / 10, "{hosts} hosts sent {used}");
     }
 }
+
+/// Seeds of each run with late messages, or with answers that do not name the limit.
+const SEEDS: u64 = 10;
+
+/// Violations with the seeds of the runs in which they happened.
+fn broken_runs(play: impl Fn(u64) -> LimitedWorld) -> Vec<String> {
+    let run = |seed| play(seed).world.oracle.violation().map(|found| format!("{seed}: {found}"));
+    (0..SEEDS).filter_map(run).collect()
+}
+
+/// Lifts the limit at the start of every ten seconds and names it again two seconds later. Then the
+/// leader of the engine's zone freezes.
+fn lift_and_name_again(engine: usize) -> impl FnMut(&mut FuzzWorld, u64) {
+    move |world, second| match (second % 10, world.leader_slot(world.zone_of_engine(engine))) {
+        (0, _) => world.set_limit(engine, None),
+        (2, _) => world.set_limit(engine, Some(LIMIT)),
+        (4, Some(slot)) => world.freeze_for(slot, 2 * SECOND),
+        _ => {}
+    }
+}
+
+#[test]
+fn can_keep_a_limit_that_ended_and_was_named_again_while_messages_are_late() {
+    for (hosts, longest_delay) in [(2, 300_000), (2, SECOND), (2, 2 * SECOND), (18, 2 * SECOND)] {
+        let broken = broken_runs(|seed| {
+            let mut limited = LimitedWorld::start_in_zones(seed, [hosts; 4]);
+            limited.world.set_loss(10);
+            limited.world.set_message_delay(longest_delay);
+            let engine = limited.engine;
+            limited.run(LIMITED_TIME, lift_and_name_again(engine));
+            limited
+        });
+        assert!(broken.is_empty(), "{hosts} hosts a zone, up to {longest_delay} us: {broken:#?}");
+    }
+}
+
+#[test]
+fn can_keep_a_limit_that_some_answers_do_not_name() {
+    for (hosts, unnamed) in [(2, 50), (2, 100), (18, 100)] {
+        let broken = broken_runs(|seed| {
+            let mut limited = LimitedWorld::start_in_zones(seed, [hosts; 4]);
+            limited.world.set_unnamed_limits(limited.engine, unnamed);
+            limited.run(LIMITED_TIME, |_, _| ());
+            limited
+        });
+        assert!(broken.is_empty(), "{hosts} hosts a zone, {unnamed} in 1,000: {broken:#?}");
+    }
+}
--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -100,6 +100,8 @@
     arrivals: Vec<Instant>,
     /// Limit that answers name, in requests a second; no limit if empty.
     limit: String,
+    /// Every request with a number divisible by this one fails; none if 0.
+    failing: usize,
     leaving: LeavingAnswers,
 }
 
@@ -175,6 +177,11 @@
         limit.clone_into(&mut self.lock().limit);
     }
 
+    /// Answers one in `interval` later requests with status 500, which says nothing about the engine.
+    pub fn fail_one_in(&self, interval: usize) {
+        self.lock().failing = interval;
+    }
+
     /// Says in all later answers that the engine is leaving. Its entry in the store stays as it is.
     pub fn say_leaving(&self) {
         self.say_leaving_in(LeavingAnswers::All);
@@ -223,6 +230,9 @@
             headers.extend(statements);
             return StandInAnswer::Reply(421, headers, Bytes::new());
         }
+        if state.failing > 0 && state.arrivals.len().is_multiple_of(state.failing) {
+            return StandInAnswer::Reply(500, Vec::new(), Bytes::new());
+        }
         let after = request.header("last-event-id").parse().ok();
         let id = request.request_id.clone().unwrap_or_default();
         let headers = request.headers.clone();
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -664,27 +664,42 @@
     futures::future::try_join_all(asks).await.expect("no request panics")
 }
 
+/// Makes the only engine of four hosts name a limit of one request a second, checks that it gets no
+/// more, and returns the answers to callers. `prepare` is called before.
+async fn answers_within_limit(prepare: impl Fn(&FleetEngine)) -> Vec<RawAnswer> {
+    let stack = ready_stack_of(FleetSpec { hosts: 4, engines: 1, ..SPEC }).await;
+    let engine = &stack.engines[0];
+    prepare(engine);
+    engine.name_limit("1");
+    let named_at = Instant::now();
+    let answers = ask_steadily(&stack, Duration::from_millis(80), Duration::from_secs(9)).await;
+    let counted = named_at + LIMIT_CONTACT;
+    let arrivals: Vec<Instant> =
+        engine.arrivals().into_iter().filter(|at| *at >= counted).collect();
+    let busiest = busiest_window(&arrivals);
+    assert!(busiest <= allowed_in_window(1.0), "{busiest} requests in {LIMIT_WINDOW:?}");
+    assert!(arrivals.len() >= 4, "{} requests in six seconds", arrivals.len());
+    answers
+}
+
 #[test]
 fn can_keep_an_engine_from_getting_more_than_its_limit() {
     run(async {
-        let stack = ready_stack_of(FleetSpec { hosts: 4, engines: 1, ..SPEC }).await;
-        let engine = &stack.engines[0];
-        engine.name_limit("1");
-        let named_at = Instant::now();
-        let answers = ask_steadily(&stack, Duration::from_millis(80), Duration::from_secs(9)).await;
-        let counted = named_at + LIMIT_CONTACT;
-        let arrivals: Vec<Instant> =
-            engine.arrivals().into_iter().filter(|at| *at >= counted).collect();
-        let busiest = busiest_window(&arrivals);
-        assert!(busiest <= allowed_in_window(1.0), "{busiest} requests in {LIMIT_WINDOW:?}");
-        assert!(arrivals.len() >= 4, "{} requests in six seconds", arrivals.len());
-        for answer in answers {
+        for answer in answers_within_limit(|_| ()).await {
             let refused = answer.status == 503 && answer.header("retry-after").is_some();
             assert!(answer.status == 200 || refused, "{}", answer.head);
         }
     });
 }
 
+#[test]
+fn can_keep_the_limit_of_an_engine_whose_errors_do_not_name_it() {
+    run(async {
+        let answers = answers_within_limit(|engine| engine.fail_one_in(3)).await;
+        assert!(answers.iter().any(|answer| answer.status == 500), "no error was passed on");
+    });
+}
+
 /// Sends requests for `m0` until each host has passed on an answer of the engine, or is assumed to
 /// send it none.
 async fn ask_until_told(stack: &FleetStack, engine: &FleetEngine) {
