Let only the leader of an upstream's scope end its limit, term by term

What operators saw: an engine that had named a limit got far more requests, from hosts that it had told.

Cause: what loosens the bound was believed as quickly as what tightens it. One answer without the header lifted a limit at the host that got it, and the host's row lifted it at all others. Rows were ordered by the age of a statement, which leaves out the time in transit, so an old end looked newer than a later limit.

Change: a limit that any answer names applies at once, and what a host was told holds until its leader has applied the report with it: the leader names that report in what it publishes, and tables of limits are numbered, so that late ones are ignored. The end is decided by the leader of the upstream's scope alone. It numbers the states of a limit (terms). Any answer that names the limit returns to it. A higher limit needs the same evidence. Limits are reported again to a new leader. Permits from before a limit was named again do not count.

--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -1,6 +1,7 @@
 //! Limits of upstreams: what hosts tell each other of them, and what they mean for requests.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use slotmap::SecondaryMap;
@@ -12,16 +13,18 @@
 use crate::effect::HostEffect;
 use crate::identity::HostIdentity;
 use crate::limits::HeldPermits;
+use crate::limits::LimitAuthority;
+use crate::limits::LimitEvidence;
 use crate::limits::LimitNotice;
 use crate::limits::LimitPressure;
-use crate::limits::LimitRecord;
 use crate::limits::LimitView;
 use crate::limits::PermitAllocator;
 use crate::limits::PermitBucket;
+use crate::limits::PublishedLimit;
 use crate::limits::RequestRate;
+use crate::message::EvidenceRow;
 use crate::message::LimitRow;
 use crate::message::LimitTable;
-use crate::message::ProcessRow;
 use crate::message::ReplicaState;
 use crate::message::WaitRow;
 use crate::request::RefusalOutcome;
@@ -46,7 +49,13 @@
     /// If this process leads: limits that its placement takes into account.
     pub(super) pressure: LimitPressure,
     /// Present while this process leads.
+    pub(super) authority: Option<LimitAuthority>,
+    /// Present while this process leads.
     pub(super) allocator: Option<PermitAllocator>,
+    /// Number of changes of what this process publishes about limits if it leads.
+    pub(super) version: u64,
+    /// Highest version of the tables of limits that the present leader of each scope has sent.
+    pub(super) applied_versions: BTreeMap<String, u64>,
     /// If this process leads: permits that leaders of other scopes granted for their upstreams.
     pub(super) foreign_permits: HeldPermits,
     /// If this process leads: number of requests that wait for upstreams of other scopes, by
@@ -70,7 +79,10 @@
             view: LimitView::default(),
             permits: HeldPermits::new(first_report),
             pressure: LimitPressure::default(),
+            authority: None,
             allocator: None,
+            version: 0,
+            applied_versions: BTreeMap::new(),
             foreign_permits: HeldPermits::new(first_report),
             foreign_counts: BTreeMap::new(),
             waits: SecondaryMap::new(),
@@ -113,6 +125,11 @@
 }
 
 impl HostReducer {
+    /// Whether the upstream belongs to `scope`.
+    pub(super) fn is_in_scope(&self, upstream: UpstreamKey, scope: &str) -> bool {
+        self.catalog.upstreams.get(upstream).is_some_and(|record| record.scope == scope)
+    }
+
     /// Records what an answer said about the limit of its upstream.
     pub(super) fn limit_observed(
         &mut self,
@@ -125,44 +142,183 @@
         if !self.catalog.has_process(upstream) {
             return;
         }
+        let before = self.limits.view.rate(upstream);
         if self.limits.view.observe(now, upstream, dispatched, notice) {
             let inputs = format!("request sent {} ms before", now.since(dispatched).as_millis());
-            self.log_limit(upstream, "named by an answer", inputs, effects);
-            self.leader_sync.dirty = true;
-            self.limits_changed(now, effects);
+            self.log_new_rate(upstream, before, "named by an answer", inputs, effects);
+            self.limit_learned(now, upstream, effects);
+        }
+    }
+
+    /// Passes on what was learned of a limit: decides about it if this host leads the upstream's
+    /// scope, else tells the leader.
+    fn limit_learned(&mut self, now: Moment, upstream: UpstreamKey, effects: &mut Vec<HostEffect>) {
+        if self.limits.view.is_named(upstream) {
+            self.limits.permits.void(upstream);
+            self.limits.foreign_permits.void(upstream);
+        }
+        self.leader_sync.dirty = true;
+        self.decide_limits(now, effects);
+        if self.limits.view.has_news(|key| key == upstream) {
+            // The leader of another scope decides.
+            self.notices_due = true;
+            self.mark_digests_due();
+        }
+        self.limits_changed(now, effects);
+    }
+
+    /// Decides about the limits of this scope's upstreams, if this host leads, by what was learned
+    /// since the last decision.
+    pub(super) fn decide_limits(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+        let Some(mut authority) = self.limits.authority.take() else {
+            return;
+        };
+        let is_own = |key: &UpstreamKey| self.is_in_scope(*key, &self.me.scope);
+        let named: Vec<_> = self.limits.view.named(now).filter(|(key, ..)| is_own(key)).collect();
+        let evidence: Vec<_> = self.limits.view.evidence().filter(|(key, _)| is_own(key)).collect();
+        for (upstream, rate, _) in named {
+            authority.name(upstream, rate);
+            if let Some(published) = authority.published(upstream) {
+                self.limits.view.publish(now, upstream, published);
+            }
         }
+        for (upstream, sign) in evidence {
+            let eased = authority.ease(upstream, sign);
+            if let Some(published) = authority.published(upstream).filter(|_| eased) {
+                self.limits.view.publish(now, upstream, published);
+                let granted = authority.granted().find(|(key, _)| *key == upstream);
+                let choice = granted.map_or_else(
+                    || "none".to_owned(),
+                    |(_, rate)| format!("{rate} a second granted"),
+                );
+                let inputs = format!("term {} of epoch {}", sign.term.1, sign.term.0);
+                let reason = "an answer did not name it";
+                self.log_limit(upstream, choice, reason, inputs, effects);
+            }
+        }
+        self.limits.authority = Some(authority);
     }
 
-    /// Applies the limits that another host knows.
-    pub(super) fn merge_limits(
+    /// Records the limits that answers named to another host.
+    pub(super) fn merge_named_limits(
         &mut self,
         now: Moment,
         from: &HostIdentity,
         rows: &[LimitRow],
         effects: &mut Vec<HostEffect>,
     ) {
-        let mut changed = false;
         for row in rows {
             let process = self.catalog.process_named(&row.upstream, row.started_ms);
-            let Some(upstream) = process else {
+            // Hosts of earlier builds also report ends, which prove nothing here.
+            let Some((upstream, rate)) = process.zip(row.rate) else {
                 continue;
             };
-            let record = LimitRecord { rate: row.rate, age: Duration::from_millis(row.age_ms) };
-            if self.limits.view.merge(now, upstream, record) {
+            let before = self.limits.view.rate(upstream);
+            if self.limits.view.name(now, upstream, rate) {
                 let inputs = format!("from {}, {} ms old when sent", from.name, row.age_ms);
-                self.log_limit(upstream, "announced by another host", inputs, effects);
-                changed = true;
+                self.log_new_rate(upstream, before, "named to another host", inputs, effects);
+                self.limit_learned(now, upstream, effects);
             }
         }
-        if changed {
-            self.limits_changed(now, effects);
+    }
+
+    /// Records the signs that limits are over which another host reports.
+    pub(super) fn merge_evidence(
+        &mut self,
+        now: Moment,
+        rows: &[EvidenceRow],
+        effects: &mut Vec<HostEffect>,
+    ) {
+        for row in rows {
+            let Some(upstream) = self.catalog.process_named(&row.upstream, row.started_ms) else {
+                continue;
+            };
+            let evidence = LimitEvidence { term: row.term, raised: row.raised };
+            if self.limits.view.add_evidence(upstream, evidence) {
+                self.limit_learned(now, upstream, effects);
+            }
         }
     }
 
-    /// Logs the limit that is now known of a process of an upstream.
-    pub(super) fn log_limit(
+    /// Applies the limits that this host's leader, or the leader of another scope, publishes about
+    /// the upstreams that it decides about or relays.
+    fn apply_published_limits(
+        &mut self,
+        now: Moment,
+        from: &HostIdentity,
+        table: &LimitTable,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        // Messages may overtake each other.
+        if table.version < self.record_limit_version(&from.scope, table.version) {
+            return;
+        }
+        let known: BTreeMap<UpstreamKey, RequestRate> = self.limits.view.limited().collect();
+        let mut rows: BTreeMap<UpstreamKey, PublishedLimit> = BTreeMap::new();
+        let mut changed = false;
+        for row in &table.rows {
+            let process = self.catalog.process_named(&row.upstream, row.started_ms);
+            let Some(upstream) = process else {
+                continue;
+            };
+            let published = PublishedLimit { rate: row.rate, term: row.term, eased: row.eased };
+            rows.insert(upstream, published);
+            // Earlier builds publish the age of the statement that applies, and only that.
+            if table.version == 0 && row.rate.is_some() {
+                changed |= self.limits.view.publish(now, upstream, published);
+            } else if table.version == 0 {
+                let age = Duration::from_millis(row.age_ms);
+                changed |= self.limits.view.apply_dated_end(now, upstream, age);
+            }
+        }
+        if table.version > 0 {
+            let catalog = &self.catalog;
+            let from_own_leader = from.scope == self.me.scope;
+            let covers = |key: UpstreamKey| {
+                let record = catalog.upstreams.get(key);
+                from_own_leader || record.is_some_and(|record| record.scope == from.scope)
+            };
+            changed |= self.limits.view.apply_table(now, &rows, table.report, covers);
+        }
+        if !changed {
+            return;
+        }
+        for upstream in rows.into_keys().chain(known.keys().copied()).collect::<BTreeSet<_>>() {
+            let before = known.get(&upstream).copied();
+            let inputs = format!("from {}, version {}", from.name, table.version);
+            self.log_new_rate(upstream, before, "published by a leader", inputs, effects);
+        }
+        self.limits_changed(now, effects);
+    }
+
+    /// Records that a table of the leader of `scope` has arrived. Returns the highest version before.
+    fn record_limit_version(&mut self, scope: &str, version: u64) -> u64 {
+        let applied = self.limits.applied_versions.entry(scope.to_owned()).or_default();
+        let last = *applied;
+        *applied = last.max(version);
+        last
+    }
+
+    /// Logs the limit of an upstream if it was `before` until now and has changed.
+    fn log_new_rate(
+        &self,
+        upstream: UpstreamKey,
+        before: Option<RequestRate>,
+        reason: &'static str,
+        inputs: String,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        let rate = self.limits.view.rate(upstream);
+        if rate != before {
+            let choice = rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate} a second"));
+            self.log_limit(upstream, choice, reason, inputs, effects);
+        }
+    }
+
+    fn log_limit(
         &self,
         upstream: UpstreamKey,
+        choice: String,
         reason: &'static str,
         inputs: String,
         effects: &mut Vec<HostEffect>,
@@ -170,8 +326,6 @@
         let process = self.catalog.process(upstream);
         let (name, started_ms) =
             process.map_or(("", 0), |process| (process.name.as_str(), process.started_ms));
-        let rate = self.limits.view.rate(upstream);
-        let choice = rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate} a second"));
         effects.push(HostEffect::LogDecision(DecisionRecord {
             kind: DecisionKind::Limit,
             ticket: None,
@@ -184,9 +338,10 @@
     }
 
     /// Publishes changed limits if this host leads, and dispatches requests that may be sent now.
-    fn limits_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+    pub(super) fn limits_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         self.update_granted_rates(now);
         if self.placement.is_some() {
+            self.limits.version += 1;
             self.notices_due = true;
             for sync in self.member_syncs.values_mut() {
                 sync.dirty = true;
@@ -198,59 +353,95 @@
 
     /// Sets the limits of this scope's upstreams, at which this host grants permits if it leads.
     pub(super) fn update_granted_rates(&mut self, now: Moment) {
-        let is_own = |key: UpstreamKey| {
-            self.catalog.upstreams.get(key).is_some_and(|record| record.scope == self.me.scope)
+        let Some(authority) = &self.limits.authority else {
+            return;
         };
-        let rates: Vec<_> = self.limits.view.limited().filter(|(key, _)| is_own(*key)).collect();
+        let is_own = |key: UpstreamKey| self.is_in_scope(key, &self.me.scope);
+        let rates: Vec<_> = authority.granted().filter(|(key, _)| is_own(*key)).collect();
         if let Some(allocator) = &mut self.limits.allocator {
             allocator.set_rates(now, &rates);
         }
     }
 
     /// Starts or ends granting permits, after this process acquired or lost the lease.
-    pub(super) fn limit_leadership_changed(&mut self, now: Moment, leads: bool) {
+    pub(super) fn limit_leadership_changed(
+        &mut self,
+        now: Moment,
+        leads: bool,
+        effects: &mut Vec<HostEffect>,
+    ) {
         self.limit_leader_replaced();
         self.limits.foreign_permits.reset_leader();
         self.limits.foreign_counts.clear();
         self.limits.pressure = LimitPressure::default();
         self.limits.allocator = leads.then(PermitAllocator::default);
+        let epoch = self.placement.as_ref().map(|placement| placement.epoch);
+        self.limits.authority = epoch.map(LimitAuthority::new);
+        self.decide_limits(now, effects);
         self.update_granted_rates(now);
+        if !self.limits.view.is_empty() {
+            self.limits.version += 1;
+        }
     }
 
-    /// Drops what another leader granted, because a new one was found.
+    /// Drops what another leader granted, because a new one was found. It may not have the limits that
+    /// this host knows.
     pub(super) fn limit_leader_replaced(&mut self) {
         self.limits.permits.reset_leader();
         self.limits.waits.clear();
-        self.limits.view.reset_confirmations();
+        self.limits.applied_versions.clear();
+        self.limits.view.reset_leader(|_| true);
     }
 
-    pub(super) fn limit_rows(
+    /// The same for the leader of another scope, if this host leads.
+    pub(super) fn limit_peer_replaced(&mut self, scope: &str) {
+        self.limits.applied_versions.remove(scope);
+        let upstreams = &self.catalog.upstreams;
+        self.limits
+            .view
+            .reset_leader(|key| upstreams.get(key).is_some_and(|record| record.scope == scope));
+    }
+
+    /// Row about the limit of a process, whether or not its upstream's entry is there now.
+    pub(super) fn limit_row(
         &self,
-        records: impl Iterator<Item = (UpstreamKey, LimitRecord)>,
-    ) -> Vec<LimitRow> {
-        let row = |(key, record): (UpstreamKey, LimitRecord)| {
-            let ProcessRow(upstream, started_ms) = self.process_row(key)?;
-            let age_ms = record.age.as_millis() as u64;
-            Some(LimitRow { upstream, started_ms, rate: record.rate, age_ms })
-        };
-        records.filter_map(row).collect()
+        key: UpstreamKey,
+        published: PublishedLimit,
+        age: Duration,
+    ) -> Option<LimitRow> {
+        let process = self.catalog.process(key)?;
+        let PublishedLimit { rate, term, eased } = published;
+        Some(LimitRow {
+            upstream: process.name.clone(),
+            started_ms: process.started_ms,
+            rate,
+            age_ms: age.as_millis() as u64,
+            term,
+            eased,
+        })
     }
 
-    /// What this leader publishes about limits to the hosts of its scope; empty without limits.
-    pub(super) fn limit_table(&self, now: Moment) -> LimitTable {
-        self.limit_table_of(now, |_| true)
+    /// What this leader publishes about limits to hosts of its scope whose latest report about limits
+    /// is `report`; empty if no limit has been known.
+    pub(super) fn limit_table(&self, now: Moment, report: u64) -> LimitTable {
+        self.limit_table_of(now, report, |_| true)
     }
 
-    /// What this leader publishes about the limits of its scope's upstreams to other leaders.
-    pub(super) fn own_limit_table(&self, now: Moment) -> LimitTable {
-        self.limit_table_of(now, |key| {
-            self.catalog.upstreams.get(key).is_some_and(|record| record.scope == self.me.scope)
-        })
+    /// What this leader publishes about the limits of its scope's upstreams to the leader of another
+    /// scope, whose latest report about them is `report`.
+    pub(super) fn own_limit_table(&self, now: Moment, report: u64) -> LimitTable {
+        self.limit_table_of(now, report, |key| self.is_in_scope(key, &self.me.scope))
     }
 
-    fn limit_table_of(&self, now: Moment, includes: impl Fn(UpstreamKey) -> bool) -> LimitTable {
-        let records = self.limits.view.records(now).filter(|(key, _)| includes(*key));
-        let rows = self.limit_rows(records);
+    fn limit_table_of(
+        &self,
+        now: Moment,
+        report: u64,
+        includes: impl Fn(UpstreamKey) -> bool,
+    ) -> LimitTable {
+        let published = self.limits.view.published(now).filter(|(key, ..)| includes(*key));
+        let rows = published.filter_map(|(key, limit, age)| self.limit_row(key, limit, age));
+        let rows = rows.collect();
         let wait = |(key, _): (UpstreamKey, RequestRate)| {
             let upstream = self.catalog.upstreams.get(key)?.name.clone();
             let allocator = self.limits.allocator.as_ref();
@@ -264,6 +455,8 @@
             grants: self.lease.authority(now).is_some(),
             rows,
             waits: limited.filter_map(wait).collect(),
+            version: self.limits.version,
+            report,
         }
     }
 
@@ -285,7 +478,7 @@
                 self.limits.waits.insert(key, waits.iter().map(wait).collect());
             }
         }
-        self.merge_limits(now, from, &table.rows, effects);
+        self.apply_published_limits(now, from, table, effects);
         let view = &self.limits.view;
         self.limits.waits.retain(|key, _| view.rate(key).is_some());
         self.refuse_without_permits(now, effects);
--- a/components/decisions/src/host/peer_leaders.rs
+++ b/components/decisions/src/host/peer_leaders.rs
@@ -23,6 +23,8 @@
     sync: PeerSync,
     /// Last known leader of the scope, and its epoch.
     leader: Option<(HostIdentity, u64)>,
+    /// Leader that sent the last digest, and its epoch.
+    digest_from: Option<(HostIdentity, u64)>,
     /// When a digest of the scope's leader last arrived.
     last_message: Option<Moment>,
     /// Index of the scope's host to probe next while its leader is unknown or silent.
@@ -38,6 +40,13 @@
 /// Hosts of a scope probed at once if its leader is unknown or silent.
 const PROBED_HOSTS: usize = 2;
 
+impl PeerLeader {
+    /// State of the message exchange.
+    pub(super) fn sync_mut(&mut self) -> &mut PeerSync {
+        &mut self.sync
+    }
+}
+
 impl HostReducer {
     /// Adds usage in this scope to the next digests for the leaders of other scopes.
     pub(super) fn add_peer_usage(&mut self, usage: &UsageCounts) {
@@ -131,7 +140,7 @@
         let behind = demand_changed || sync.replicas.is_behind(self.view.id(), version);
         let silent = peer_leader.last_message.is_none_or(|at| at < self.silent_since(now));
         let heartbeat = self.timing.heartbeat / if silent { PROBES_PER_HEARTBEAT } else { 1 };
-        let wants_due = now.since(sync.sent_at) >= WANT_INTERVAL && self.waits_for_scope(scope);
+        let wants_due = now.since(sync.sent_at) >= WANT_INTERVAL && self.owes_limit_report(scope);
         if !wants_due && !sync.is_due(now, self.timing.notice_pause, heartbeat, behind) {
             return;
         }
@@ -145,6 +154,7 @@
         sync.replicas.record_sent(now, update.version);
         sync.sent_at = now;
         sync.dirty = false;
+        let limit_ack = sync.limit_ack;
         peer_leader.sent_demand = waiting;
         let usage = std::mem::take(&mut peer_leader.unreported_usage);
         let declined = self.placement.as_ref().map(|placement| placement.declined.iter());
@@ -160,7 +170,7 @@
                 .flatten()
                 .filter_map(|asset| self.asset_name(*asset))
                 .collect(),
-            limits: self.own_limit_table(now),
+            limits: self.own_limit_table(now, limit_ack),
             foreign_limits: self.foreign_limit_report(now, scope),
         };
         for receiver in receivers {
@@ -218,13 +228,19 @@
         if peer_leader.leader.as_ref().is_some_and(|(_, epoch)| *epoch > digest.epoch) {
             return;
         }
-        peer_leader.leader = Some((from.clone(), digest.epoch));
+        let leader = (from.clone(), digest.epoch);
+        let is_new = peer_leader.digest_from.as_ref() != Some(&leader);
+        peer_leader.digest_from = Some(leader.clone());
+        peer_leader.leader = Some(leader);
         peer_leader.last_message = Some(now);
         peer_leader.sync.observe_process(&from);
         peer_leader.sync.replicas.record_ack(now, digest.ack, self.view.id());
         let changed = self.view.ack(&from.scope).version != digest.update.version;
         peer_leader.sync.dirty |= changed;
         self.notices_due |= changed;
+        if is_new {
+            self.limit_peer_replaced(&from.scope);
+        }
         self.apply_update(now, &from.scope, TableRange::OwnScope, &digest.update, effects);
         self.apply_limit_table(now, &from, &digest.limits, effects);
         self.handle_limit_report(now, &from, &digest.foreign_limits, effects);
--- a/components/decisions/src/host/peer_sync.rs
+++ b/components/decisions/src/host/peer_sync.rs
@@ -76,6 +76,10 @@
     pub sent_at: Moment,
     /// Whether there is something to send besides table changes.
     pub dirty: bool,
+    /// Number of its latest report about limits; 0 if there was none.
+    pub limit_report: u64,
+    /// The same if that report named limits, else 0.
+    pub limit_ack: u64,
 }
 
 impl PeerSync {
--- a/components/decisions/src/host/permits.rs
+++ b/components/decisions/src/host/permits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use wagtailledge_inventory::UpstreamKey;
+use wagtailledge_inventory::UpstreamRecord;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -11,14 +12,19 @@
 use crate::effect::DecisionRecord;
 use crate::effect::HostEffect;
 use crate::identity::HostIdentity;
+use crate::limits::LimitEvidence;
 use crate::limits::LimitPressure;
 use crate::limits::OWN_REPORT;
 use crate::limits::PERMIT_LIFETIME;
 use crate::limits::PermitAward;
 use crate::limits::PermitBucket;
+use crate::limits::PublishedLimit;
 use crate::limits::RequestRate;
 use crate::limits::WantEntry;
+use crate::limits::is_report_since;
+use crate::message::EvidenceRow;
 use crate::message::LimitReport;
+use crate::message::LimitRow;
 use crate::message::PeerMessage;
 use crate::message::PermitGrant;
 use crate::message::PermitWant;
@@ -27,6 +33,7 @@
 use crate::time::Moment;
 
 use super::limits::SPARE_RANK;
+use super::peer_leaders::PeerLeader;
 use super::state::HostReducer;
 
 /// Interval at which a host repeats what it waits for. Must be shorter than [`PERMIT_LIFETIME`].
@@ -76,15 +83,42 @@
             })
         };
         let wants = self.permit_wants(now).into_iter().filter_map(want).collect();
-        let rows = self.limit_rows(self.limits.view.unconfirmed(now));
-        LimitReport { number: self.limits.permits.record_report(now), rows, wants }
+        let (rows, evidence) = self.limit_news(now, |_| true);
+        let number = self.limits.permits.record_report(now);
+        self.limits.view.record_report(number, |_| true);
+        LimitReport { number, rows, evidence, wants }
     }
 
-    /// Whether this host has to repeat what it waits for.
+    /// Limits of the upstreams for which `covers` is true that their leader may not have, and the signs
+    /// that limits are over.
+    fn limit_news(
+        &self,
+        now: Moment,
+        covers: impl Fn(UpstreamKey) -> bool,
+    ) -> (Vec<LimitRow>, Vec<EvidenceRow>) {
+        let named = self.limits.view.named(now).filter(|(key, ..)| covers(*key));
+        let row = |(key, rate, age): (UpstreamKey, RequestRate, Duration)| {
+            let published = PublishedLimit { rate: Some(rate), ..PublishedLimit::default() };
+            self.limit_row(key, published, age)
+        };
+        let evidence = self.limits.view.evidence().filter(|(key, _)| covers(*key));
+        let sign = |(key, evidence): (UpstreamKey, LimitEvidence)| {
+            let process = self.catalog.process(key)?;
+            Some(EvidenceRow {
+                upstream: process.name.clone(),
+                started_ms: process.started_ms,
+                term: evidence.term,
+                raised: evidence.raised,
+            })
+        };
+        (named.filter_map(row).collect(), evidence.filter_map(sign).collect())
+    }
+
+    /// Whether this host has to repeat what it waits for, or what its leader may not have.
     pub(super) fn is_limit_report_due(&self, now: Moment, sent_at: Moment) -> bool {
         !self.limits.view.is_empty()
             && now.since(sent_at) >= WANT_INTERVAL
-            && !self.permit_wants(now).is_empty()
+            && (self.limits.view.has_news(|_| true) || !self.permit_wants(now).is_empty())
     }
 
     /// Requests that wait for permits, by upstream and rank. Each waiting request asks for one
@@ -147,23 +181,24 @@
         };
         let wants: Vec<PermitWant> =
             allocator.foreign_wants().into_iter().filter_map(want).collect();
-        let is_foreign = |key: UpstreamKey| {
-            self.catalog.upstreams.get(key).is_some_and(|record| record.scope == scope)
-        };
-        let rows =
-            self.limit_rows(self.limits.view.records(now).filter(|(key, _)| is_foreign(*key)));
-        if rows.is_empty() {
+        let (rows, evidence) = self.limit_news(now, |key| self.is_in_scope(key, scope));
+        if rows.is_empty() && evidence.is_empty() && wants.is_empty() {
             return LimitReport::default();
         }
-        LimitReport { number: self.limits.foreign_permits.record_report(now), rows, wants }
+        let number = self.limits.foreign_permits.record_report(now);
+        let upstreams = &self.catalog.upstreams;
+        let is_foreign =
+            |key| upstreams.get(key).is_some_and(|record: &UpstreamRecord| record.scope == scope);
+        self.limits.view.record_report(number, is_foreign);
+        LimitReport { number, rows, evidence, wants }
     }
 
-    /// Whether requests of this scope wait for permits of the other scope's upstreams.
-    pub(super) fn waits_for_scope(&self, scope: &str) -> bool {
+    /// Whether the leader of the other scope is still to be told of requests of this scope that wait for
+    /// permits, or of limits of its upstreams.
+    pub(super) fn owes_limit_report(&self, scope: &str) -> bool {
         let mut counts = self.limits.foreign_counts.keys();
-        counts.any(|(key, _)| {
-            self.catalog.upstreams.get(*key).is_some_and(|record| record.scope == scope)
-        })
+        counts.any(|(key, _)| self.is_in_scope(*key, scope))
+            || self.limits.view.has_news(|key| self.is_in_scope(key, scope))
     }
 
     /// Records what another host of this scope, or the leader of another scope, reported, if this
@@ -175,10 +210,11 @@
         report: &LimitReport,
         effects: &mut Vec<HostEffect>,
     ) {
-        if report.number == OWN_REPORT {
+        if report.number == OWN_REPORT || !self.record_limit_report(from, report) {
             return;
         }
-        self.merge_limits(now, from, &report.rows, effects);
+        self.merge_named_limits(now, from, &report.rows, effects);
+        self.merge_evidence(now, &report.evidence, effects);
         let entry = |want: &PermitWant| {
             Some(WantEntry {
                 upstream: self.catalog.process_named(&want.upstream, want.started_ms)?,
@@ -201,6 +237,28 @@
         }
     }
 
+    /// Records the number of a report of a host of this scope or of the leader of another one. Returns
+    /// whether it is newer than the last one; messages may overtake each other.
+    fn record_limit_report(&mut self, from: &HostIdentity, report: &LimitReport) -> bool {
+        let sync = if from.scope == self.me.scope {
+            self.member_syncs.get_mut(&from.name)
+        } else {
+            self.peer_leaders.get_mut(&from.scope).map(PeerLeader::sync_mut)
+        };
+        let Some(sync) = sync else {
+            return false;
+        };
+        if is_report_since(sync.limit_report, report.number) {
+            return false;
+        }
+        sync.limit_report = report.number;
+        sync.limit_ack = if report.rows.is_empty() { 0 } else { report.number };
+        // The host counts its limits as unknown here until it is told that they have arrived.
+        sync.dirty |= sync.limit_ack != 0;
+        self.notices_due |= sync.limit_ack != 0;
+        true
+    }
+
     /// Grants the permits that are available, if this host leads and has authority.
     pub(super) fn allocate_permits(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         let leads = self.limits.allocator.is_some() && self.lease.authority(now).is_some();
@@ -319,6 +377,9 @@
         }
         let catalog = &self.catalog;
         self.limits.view.sweep(now, |key| catalog.has_process(key));
+        if let Some(authority) = &mut self.limits.authority {
+            authority.retain(|key| catalog.has_process(key));
+        }
         let waited = now.since(self.limits.leader_granted_at.max(self.resumed_at));
         let has_leader = waited < self.timing.peer_timeout * LEADERLESS_TIMEOUTS;
         if has_leader || self.limits.allocator.is_some() {
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -100,6 +100,10 @@
             }
         }
         log_entries(logged, effects);
+        if self.limits.view.has_news(|_| true) {
+            self.decide_limits(now, effects);
+            self.limits_changed(now, effects);
+        }
         self.update_granted_rates(now);
         self.inventory_changed(now, effects);
         self.dispatch_all_waiting(now, effects);
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -64,8 +64,9 @@
         let names: BTreeSet<&str> = members.iter().map(|identity| identity.name.as_str()).collect();
         self.member_syncs.retain(|name, _| names.contains(name.as_str()));
         let version = self.view.version(TableRange::AllScopes);
-        // Hosts with the same base versions of both tables get the same message.
-        let mut groups: BTreeMap<(u64, u64), Vec<HostIdentity>> = BTreeMap::new();
+        // Hosts with the same base versions of both tables get the same message, unless they reported
+        // limits.
+        let mut groups: BTreeMap<(u64, u64, u64), Vec<HostIdentity>> = BTreeMap::new();
         for identity in members {
             let mut sync = self.member_syncs.remove(&identity.name).unwrap_or_default();
             let waits_for_change = |changed: &BTreeSet<AssetKey>| {
@@ -79,6 +80,7 @@
                 let base = (
                     sync.replicas.base_version(self.view.id()),
                     sync.registry.base_version(self.registered_upstreams.id()),
+                    sync.limit_ack,
                 );
                 sync.replicas.record_sent(now, version);
                 sync.registry.record_sent(now, self.registered_upstreams.version());
@@ -88,8 +90,8 @@
             }
             self.member_syncs.insert(identity.name, sync);
         }
-        for ((replicas, registry), receivers) in groups {
-            let notice = self.build_leader_notice(now, replicas, registry);
+        for ((replicas, registry, limit_ack), receivers) in groups {
+            let notice = self.build_leader_notice(now, replicas, registry, limit_ack);
             let message = Box::new(PeerMessage::Leader(notice));
             effects.push(HostEffect::Broadcast(receivers, message));
         }
@@ -112,8 +114,14 @@
     }
 
     /// Notice with all changes since these versions of the replica table and the registered
-    /// upstreams.
-    fn build_leader_notice(&self, now: Moment, replicas: u64, registry: u64) -> LeaderNotice {
+    /// upstreams, for hosts whose report about limits with the number `limit_ack` has been applied.
+    fn build_leader_notice(
+        &self,
+        now: Moment,
+        replicas: u64,
+        registry: u64,
+        limit_ack: u64,
+    ) -> LeaderNotice {
         let declined = self.declined.iter().filter_map(|asset| self.asset_name(*asset));
         LeaderNotice {
             // Also sent without authority, as hosts need the replica table for routing.
@@ -123,7 +131,7 @@
             update: self.view.update_for(&self.catalog, TableRange::AllScopes, replicas),
             registry: self.registered_upstreams.update_since(registry),
             declined: declined.collect(),
-            limits: self.limit_table(now),
+            limits: self.limit_table(now, limit_ack),
             hosts: self.host_count().unwrap_or(0) as u32,
         }
     }
@@ -192,6 +200,8 @@
         let same_leader = self.leader.as_ref().is_some_and(|leader| leader.identity == from);
         if !same_leader {
             self.leader_sync = PeerSync { dirty: true, ..PeerSync::default() };
+        }
+        if !same_leader || notice.epoch != known {
             self.limit_leader_replaced();
         }
         self.leader =
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -516,7 +516,7 @@
             self.view.start_leading(&self.catalog, &self.me.scope);
         }
         self.placement = held_epoch.map(|epoch| PlacementState::new(now, epoch));
-        self.limit_leadership_changed(now, held_epoch.is_some());
+        self.limit_leadership_changed(now, held_epoch.is_some(), effects);
         if let Some(epoch) = held_epoch {
             let last_message = now;
             self.leader = Some(LeaderContact { identity: self.me.clone(), epoch, last_message });
--- a/components/decisions/src/limits/notice.rs
+++ b/components/decisions/src/limits/notice.rs
@@ -22,10 +22,36 @@
 pub enum LimitNotice {
     /// The upstream accepts this many requests from all hosts together.
     Limited(RequestRate),
-    /// The upstream names no limit.
+    /// The answer names no limit. Only a complete, successful answer to a caller's request shows that
+    /// there may be none.
     Unlimited,
 }
 
+/// Identifies a state of a limit at the leader of its upstream's scope: the leader's epoch, and a
+/// number that grows with each change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitTerm(pub u64, pub u64);
+
+/// Sign that the term of a limit is over, from an answer to a request that was sent within the term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitEvidence {
+    /// The term.
+    pub term: LimitTerm,
+    /// The higher limit that the answer named; `None` if it named none.
+    pub raised: Option<RequestRate>,
+}
+
+/// Limit of one upstream, as a leader publishes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PublishedLimit {
+    /// The limit that the upstream named; `None` if it has ended.
+    pub rate: Option<RequestRate>,
+    /// Term of this state; `None` if the leader of the upstream's scope has not confirmed it.
+    pub term: Option<LimitTerm>,
+    /// Whether more requests than that are granted, because answers no longer name it.
+    pub eased: bool,
+}
+
 /// Upstreams whose limits the leader takes into account when it places replicas.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct LimitPressure {
--- a/components/decisions/src/limits/permits.rs
+++ b/components/decisions/src/limits/permits.rs
@@ -12,6 +12,12 @@
 /// the past can be used at once.
 pub const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Whether the report with the number `report` is the one with the number `first` or a later one of
+/// the same host; false for 0, the number of no report.
+pub fn is_report_since(report: u64, first: u64) -> bool {
+    report != 0 && report.wrapping_sub(first) <= u64::MAX / 2
+}
+
 /// Permits for requests to limited upstreams, and the reports that asked for them.
 #[derive(Debug, Clone, Default)]
 pub struct HeldPermits {
@@ -19,6 +25,8 @@
     held: SecondaryMap<UpstreamKey, VecDeque<Moment>>,
     /// Number of the latest permit that the current leader granted for each upstream.
     seen: SecondaryMap<UpstreamKey, u64>,
+    /// Number of the latest report for which permits of an upstream are not accepted any more.
+    void: SecondaryMap<UpstreamKey, u64>,
     /// Numbers of the reports sent within [`PERMIT_LIFETIME`], and when they were sent.
     reports: VecDeque<(u64, Moment)>,
     last_report: u64,
@@ -61,6 +69,9 @@
             return false;
         }
         self.seen.insert(upstream, serial);
+        if self.void.get(upstream).is_some_and(|void| is_report_since(*void, report)) {
+            return false;
+        }
         let sent = self.reports.iter().find(|(number, _)| *number == report);
         let Some(expires) = sent.map(|(_, sent)| sent.after(PERMIT_LIFETIME)) else {
             return false;
@@ -72,6 +83,13 @@
         true
     }
 
+    /// Drops the permits of an upstream that were granted for the reports so far, also those that are
+    /// in transit, because the upstream named a limit that its leader did not know then.
+    pub fn void(&mut self, upstream: UpstreamKey) {
+        self.held.remove(upstream);
+        self.void.insert(upstream, self.last_report);
+    }
+
     /// Adds `count` permits that expire at `expires`.
     pub fn add(&mut self, upstream: UpstreamKey, expires: Moment, count: u32) {
         if !self.held.contains_key(upstream) {
@@ -101,6 +119,7 @@
     pub fn reset_leader(&mut self) {
         self.held.clear();
         self.seen.clear();
+        self.void.clear();
     }
 
     /// Drops all permits and reports, because this process was frozen.
--- a/components/decisions/src/limits/view.rs
+++ b/components/decisions/src/limits/view.rs
@@ -1,5 +1,6 @@
 //! What a host knows of the limits of upstreams.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slotmap::SecondaryMap;
@@ -7,43 +8,76 @@
 
 use crate::time::Moment;
 
+use super::notice::LimitEvidence;
 use super::notice::LimitNotice;
+use super::notice::LimitTerm;
+use super::notice::PublishedLimit;
 use super::notice::RequestRate;
+use super::permits::is_report_since;
 
-/// How long the end of a limit is remembered, to correct hosts that have not heard of it.
-const LIFTED_RETENTION: Duration = Duration::from_secs(60);
+/// How long the end of a limit is published, for hosts of earlier builds, which need to be told.
+pub(super) const ENDED_RETENTION: Duration = Duration::from_secs(60);
+
+/// On whose word a limit is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LimitStanding {
+    /// An answer named it, and the leader is not known to have it.
+    Named {
+        /// Number of the first report to the leader that contained it.
+        first_report: Option<u64>,
+    },
+    /// The leader published it.
+    Published {
+        term: Option<LimitTerm>,
+        eased: bool,
+        /// When this host learned of the term.
+        since: Moment,
+    },
+}
 
 /// Last known limit of one upstream.
 #[derive(Debug, Clone, Copy)]
 struct KnownLimit {
-    /// The limit; `None` if the upstream lifted it.
+    /// The limit that the upstream named; `None` if it has ended.
     rate: Option<RequestRate>,
-    /// Since when this host knows that the upstream is limited, or not limited any more.
-    since: Moment,
-    /// When the upstream last said so.
-    observed_at: Moment,
-    /// Whether the leader is known to have the same limit.
-    confirmed: bool,
+    standing: LimitStanding,
+    /// When this host last learned of the limit or of its end.
+    learned_at: Moment,
 }
 
-/// Limit of an upstream, with the time since the upstream last named or lifted it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LimitRecord {
-    /// The limit; `None` if the upstream lifted it.
-    pub rate: Option<RequestRate>,
-    /// Time since the upstream last said so.
-    pub age: Duration,
+impl KnownLimit {
+    /// The limit as this host, if it leads, publishes it.
+    fn published(&self) -> PublishedLimit {
+        match self.standing {
+            LimitStanding::Named { .. } => {
+                PublishedLimit { rate: self.rate, term: None, eased: false }
+            }
+            LimitStanding::Published { term, eased, .. } => {
+                PublishedLimit { rate: self.rate, term, eased }
+            }
+        }
+    }
+
+    fn is_named(&self) -> bool {
+        matches!(self.standing, LimitStanding::Named { .. })
+    }
 }
 
-/// Limits of upstreams, from the answers that this host got and from other hosts. The latest
-/// statement of an upstream applies, whoever received it.
+/// Limits of upstreams, from the answers that this host got, from hosts that report to it, and from
+/// its leader.
+///
+/// A lower limit applies as soon as one answer names it. Only the leader of the upstream's scope
+/// decides that a limit is over or has risen, and only a publication that this host's report has
+/// preceded replaces what an answer named.
 #[derive(Debug, Clone, Default)]
 pub struct LimitView {
     limits: SecondaryMap<UpstreamKey, KnownLimit>,
+    /// Signs that the present term of a limit is over, which the leader of its scope may not have.
+    evidence: SecondaryMap<UpstreamKey, LimitEvidence>,
 }
 
 impl LimitView {
-    /// Whether no limit is known, lifted ones included.
+    /// Whether no limit is known, ended ones included.
     pub fn is_empty(&self) -> bool {
         self.limits.is_empty()
     }
@@ -58,8 +92,8 @@
         self.limits.iter().filter_map(|(key, limit)| Some((key, limit.rate?)))
     }
 
-    /// Records what an answer said to a request that was dispatched at `dispatched`. Returns
-    /// whether the limit changed.
+    /// Records what an answer said to a request that was dispatched at `dispatched`. Returns whether
+    /// the leader has to learn of it.
     pub fn observe(
         &mut self,
         now: Moment,
@@ -67,75 +101,199 @@
         dispatched: Moment,
         notice: LimitNotice,
     ) -> bool {
-        let known = self.limits.get(upstream).copied();
-        let rate = match notice {
-            LimitNotice::Limited(rate) => Some(rate),
-            // An answer that began before the limit was named does not lift it.
-            LimitNotice::Unlimited => match known {
-                Some(limit) if limit.rate.is_none() || dispatched >= limit.since => None,
-                _ => return false,
-            },
+        let raised = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::Limited(rate) if self.rate(upstream).is_some_and(|known| known < rate) => {
+                if self.is_eased(upstream) {
+                    return self.name(now, upstream, rate);
+                }
+                Some(rate)
+            }
+            LimitNotice::Limited(rate) => return self.name(now, upstream, rate),
         };
-        self.put(now, upstream, rate, now, false)
+        match self.limits.get(upstream).map(|known| known.standing) {
+            // An answer that began before the term says nothing about its end.
+            Some(LimitStanding::Published { term: Some(term), since, .. })
+                if dispatched >= since =>
+            {
+                self.add_evidence(upstream, LimitEvidence { term, raised })
+            }
+            _ => false,
+        }
     }
 
-    /// Applies what another host knows. Returns whether the limit changed.
-    pub fn merge(&mut self, now: Moment, upstream: UpstreamKey, record: LimitRecord) -> bool {
-        let observed_at = now.before(record.age);
-        match self.limits.get_mut(upstream) {
-            None if record.rate.is_none() => false,
-            Some(known) if known.observed_at >= observed_at => {
-                known.confirmed = known.rate == record.rate;
-                false
-            }
-            _ => self.put(now, upstream, record.rate, observed_at, true),
+    /// Records that an answer named a limit, to this host or to one that reports to it. Returns
+    /// whether the leader has to learn of it.
+    pub fn name(&mut self, now: Moment, upstream: UpstreamKey, rate: RequestRate) -> bool {
+        let known = self.limits.get(upstream).copied();
+        let rate = known.and_then(|known| known.rate).map_or(rate, |known| known.min(rate));
+        if self.rate(upstream) == Some(rate) && !self.is_eased(upstream) {
+            return false;
+        }
+        let standing = LimitStanding::Named { first_report: None };
+        self.limits.insert(upstream, KnownLimit { rate: Some(rate), standing, learned_at: now });
+        self.evidence.remove(upstream);
+        true
+    }
+
+    /// Whether the leader grants more requests than the limit of an upstream allows.
+    fn is_eased(&self, upstream: UpstreamKey) -> bool {
+        self.limits.get(upstream).is_some_and(|known| known.published().eased)
+    }
+
+    /// Records a sign that the term of a limit is over, unless it has been replaced. Returns whether
+    /// it is new.
+    pub fn add_evidence(&mut self, upstream: UpstreamKey, evidence: LimitEvidence) -> bool {
+        let Some(known) = self.limits.get(upstream).filter(|known| known.rate.is_some()) else {
+            return false;
+        };
+        if known.published().term != Some(evidence.term) {
+            return false;
         }
+        let last = self.evidence.get(upstream).copied();
+        if last.is_some_and(|last| last == evidence || last.raised.is_some()) {
+            return false;
+        }
+        self.evidence.insert(upstream, evidence);
+        true
     }
 
-    fn put(
+    /// Applies what the leader published last about one limit. Returns whether anything changed.
+    pub fn publish(
         &mut self,
         now: Moment,
         upstream: UpstreamKey,
-        rate: Option<RequestRate>,
-        observed_at: Moment,
-        confirmed: bool,
+        published: PublishedLimit,
     ) -> bool {
         let known = self.limits.get(upstream).copied();
-        let same_rate = known.is_some_and(|known| known.rate == rate);
-        let same_state = known.is_some_and(|known| known.rate.is_some() == rate.is_some());
-        let since = known.filter(|_| same_state).map_or(now, |known| known.since);
-        let confirmed = confirmed || (same_rate && known.is_some_and(|known| known.confirmed));
-        self.limits.insert(upstream, KnownLimit { rate, since, observed_at, confirmed });
-        !same_rate
+        if known.is_some_and(|known| !known.is_named() && known.published() == published) {
+            return false;
+        }
+        if known.is_none() && published.rate.is_none() {
+            return false;
+        }
+        let PublishedLimit { rate, term, eased } = published;
+        let standing = LimitStanding::Published { term, eased, since: now };
+        self.limits.insert(upstream, KnownLimit { rate, standing, learned_at: now });
+        self.evidence.remove(upstream);
+        true
     }
 
-    /// All known limits, lifted ones included.
-    pub fn records(&self, now: Moment) -> impl Iterator<Item = (UpstreamKey, LimitRecord)> + '_ {
-        self.limits.iter().map(move |(key, limit)| {
-            (key, LimitRecord { rate: limit.rate, age: now.since(limit.observed_at) })
-        })
+    /// Applies all limits that a leader publishes about the upstreams for which `covers` is true.
+    /// `report` is the number of this host's latest report that the leader has applied; 0 if none.
+    /// Returns whether anything changed.
+    pub fn apply_table(
+        &mut self,
+        now: Moment,
+        rows: &BTreeMap<UpstreamKey, PublishedLimit>,
+        report: u64,
+        covers: impl Fn(UpstreamKey) -> bool,
+    ) -> bool {
+        let mut changed = false;
+        for (upstream, published) in rows.iter().filter(|(key, _)| covers(**key)) {
+            let standing = self.limits.get(*upstream).map(|known| known.standing);
+            changed |= match (standing, published.rate) {
+                (Some(LimitStanding::Named { first_report }), rate)
+                    if !first_report.is_some_and(|first| is_report_since(report, first)) =>
+                {
+                    rate.is_some_and(|rate| self.name(now, *upstream, rate))
+                }
+                _ => self.publish(now, *upstream, *published),
+            };
+        }
+        let missing = |key: &UpstreamKey| covers(*key) && !rows.contains_key(key);
+        let keys: Vec<UpstreamKey> = self.limits.keys().filter(missing).collect();
+        for upstream in keys {
+            let Some(known) = self.limits.get_mut(upstream) else {
+                continue;
+            };
+            match &mut known.standing {
+                // The leader does not know the process yet.
+                LimitStanding::Named { first_report } => *first_report = None,
+                LimitStanding::Published { .. } => {
+                    self.limits.remove(upstream);
+                    self.evidence.remove(upstream);
+                    changed = true;
+                }
+            }
+        }
+        changed
+    }
+
+    /// Applies the end of a limit that a leader of an earlier build publishes with the `age` of the
+    /// answer that showed it. Returns whether anything changed.
+    pub fn apply_dated_end(&mut self, now: Moment, upstream: UpstreamKey, age: Duration) -> bool {
+        let known = self.limits.get(upstream);
+        let is_later = known.is_some_and(|known| known.learned_at < now.before(age));
+        is_later && self.publish(now, upstream, PublishedLimit::default())
+    }
+
+    /// Counts the limits for which `covers` is true as unknown to the leader, because another host
+    /// leads now.
+    pub fn reset_leader(&mut self, covers: impl Fn(UpstreamKey) -> bool) {
+        for (upstream, known) in &mut self.limits {
+            if known.rate.is_some() && covers(upstream) {
+                known.standing = LimitStanding::Named { first_report: None };
+                self.evidence.remove(upstream);
+            }
+        }
     }
 
-    /// Known limits that the leader may not have.
-    pub fn unconfirmed(
+    /// Whether the leader of a scope may not have all that is known of the upstreams for which
+    /// `covers` is true.
+    pub fn has_news(&self, covers: impl Fn(UpstreamKey) -> bool) -> bool {
+        self.limits.iter().any(|(key, known)| known.is_named() && covers(key))
+            || self.evidence.keys().any(covers)
+    }
+
+    /// Whether the limit of the upstream was named in an answer and the leader may not have it.
+    pub fn is_named(&self, upstream: UpstreamKey) -> bool {
+        self.limits.get(upstream).is_some_and(KnownLimit::is_named)
+    }
+
+    /// Limits that were named in answers and that the leader may not have, each with the time since.
+    pub fn named(
         &self,
         now: Moment,
-    ) -> impl Iterator<Item = (UpstreamKey, LimitRecord)> + '_ {
-        self.records(now).filter(|(key, _)| !self.limits[*key].confirmed)
+    ) -> impl Iterator<Item = (UpstreamKey, RequestRate, Duration)> + '_ {
+        let named = self.limits.iter().filter(|(_, known)| known.is_named());
+        named.filter_map(move |(key, known)| Some((key, known.rate?, now.since(known.learned_at))))
+    }
+
+    /// Signs that limits are over, which the leaders of their scopes may not have.
+    pub fn evidence(&self) -> impl Iterator<Item = (UpstreamKey, LimitEvidence)> + '_ {
+        self.evidence.iter().map(|(key, evidence)| (key, *evidence))
     }
 
-    /// Counts all limits as unknown to the leader, because another host leads now.
-    pub fn reset_confirmations(&mut self) {
-        for limit in self.limits.values_mut() {
-            limit.confirmed = false;
+    /// Records that the report with this number contains the named limits for which `covers` is true.
+    pub fn record_report(&mut self, number: u64, covers: impl Fn(UpstreamKey) -> bool) {
+        for (key, known) in &mut self.limits {
+            if let LimitStanding::Named { first_report } = &mut known.standing
+                && covers(key)
+            {
+                first_report.get_or_insert(number);
+            }
         }
     }
 
-    /// Removes limits that were lifted long ago, and those of upstreams for which `exists` is false.
+    /// All known limits as this host, if it leads, publishes them, each with the time since this host
+    /// learned of it.
+    pub fn published(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (UpstreamKey, PublishedLimit, Duration)> + '_ {
+        let row = move |(key, known): (UpstreamKey, &KnownLimit)| {
+            (key, known.published(), now.since(known.learned_at))
+        };
+        self.limits.iter().map(row)
+    }
+
+    /// Removes limits that ended long ago, and those of upstreams for which `exists` is false.
     pub fn sweep(&mut self, now: Moment, exists: impl Fn(UpstreamKey) -> bool) {
-        let oldest = now.before(LIFTED_RETENTION);
-        self.limits.retain(|key, limit| {
-            exists(key) && (limit.rate.is_some() || limit.observed_at > oldest)
+        let oldest = now.before(ENDED_RETENTION);
+        self.limits.retain(|key, known| {
+            exists(key) && (known.rate.is_some() || known.learned_at > oldest)
         });
+        self.evidence.retain(|key, _| self.limits.contains_key(key));
     }
 }
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -11,6 +11,7 @@
 use crate::identity::HostIdentity;
 use crate::ledger::LedgerClaim;
 use crate::ledger::LedgerVerdict;
+use crate::limits::LimitTerm;
 use crate::limits::RequestRate;
 use crate::request::LedgerKey;
 
@@ -93,7 +94,7 @@
 pub struct ProcessRow(pub String, pub u64);
 
 /// Limit of one upstream, as the sender knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct LimitRow {
     /// Name of the upstream.
     #[serde(rename = "u")]
@@ -104,9 +105,32 @@
     /// The limit; `None` if the upstream lifted it.
     #[serde(rename = "l")]
     pub rate: Option<RequestRate>,
-    /// Time since the upstream last said so, in milliseconds.
+    /// Time since the sender learned of it, in milliseconds. Hosts of earlier builds order rows by it.
     #[serde(rename = "a")]
     pub age_ms: u64,
+    /// Term of this state; `None` if the leader of the upstream's scope has not confirmed it.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub term: Option<LimitTerm>,
+    /// Whether more requests than the limit are granted, because answers no longer name it.
+    #[serde(rename = "e", default, skip_serializing_if = "std::ops::Not::not")]
+    pub eased: bool,
+}
+
+/// Sign that a limit is over or higher, from an answer of its upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceRow {
+    /// Name of the upstream.
+    #[serde(rename = "u")]
+    pub upstream: String,
+    /// When the upstream's process started, by its own clock.
+    #[serde(rename = "b")]
+    pub started_ms: u64,
+    /// Term of the limit when the request was sent.
+    #[serde(rename = "t")]
+    pub term: LimitTerm,
+    /// The higher limit that the answer named; `None` if it named none.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub raised: Option<RequestRate>,
 }
 
 /// Expected waits for a permit of one upstream: its name, and ascending ranks. Each rank has the
@@ -126,12 +150,19 @@
     /// Expected waits for permits.
     #[serde(rename = "w", default)]
     pub waits: Vec<WaitRow>,
+    /// Number of changes of the rows so far at the sender; 0 from hosts of earlier builds.
+    #[serde(rename = "v", default)]
+    pub version: u64,
+    /// Number of the receiver's latest report about limits that the rows take into account; 0 if
+    /// the receiver named no limit in it.
+    #[serde(rename = "k", default)]
+    pub report: u64,
 }
 
 impl LimitTable {
-    /// Whether no limit is known.
+    /// Whether no limit has been known so far.
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.rows.is_empty() && self.version == 0
     }
 }
 
@@ -164,9 +195,12 @@
     /// Number of the report, never used twice by a host; 0 if the host knows no limit.
     #[serde(rename = "i")]
     pub number: u64,
-    /// Limits that the leader may not know.
+    /// Limits that answers named and the leader may not know.
     #[serde(rename = "r", default)]
     pub rows: Vec<LimitRow>,
+    /// Signs that limits are over.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Vec<EvidenceRow>,
     /// Waiting requests by upstream and rank.
     #[serde(rename = "w", default)]
     pub wants: Vec<PermitWant>,
