Take only complete, successful answers for a sign that a limit is over

What operators saw: an engine that had named a limit got far more requests, from hosts that it had told.

Cause: any head without the header counted as the end of a limit, also that of an error, of a request that was turned away and of an answer that breaks off.

Change: the runtime submits such a sign when an attempt has ended with a complete answer of status 2xx. A limit that a head names is still submitted at once, whatever the status.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -13,6 +13,7 @@
 use wagtailledge_decisions::Moment;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamStatement;
+use wagtailledge_decisions::limits::LimitNotice;
 use wagtailledge_decisions::request::RequestKey;
 use wagtailledge_decisions::request::RequestTicket;
 use wagtailledge_frontend::CallTarget;
@@ -60,6 +61,7 @@
     /// Sends a request to its upstream in a new task, which submits the outcome of the attempt.
     pub(crate) fn dispatch(self: &Rc<Self>, plan: DispatchPlan) {
         let (request, number) = (plan.request, plan.attempt);
+        let (key, dispatched) = (plan.upstream, plan.dispatched);
         let Some(call) = self.upstream_call(&plan) else {
             let outcome = AttemptOutcome::NotRun { misplaced: true };
             self.submit(HostEvent::AttemptEnded(request, number, outcome));
@@ -91,6 +93,10 @@
             if times.is_truncated() {
                 shell.parts.metrics.count("answer.truncated");
             }
+            if times.is_without_limit(&outcome) {
+                let notice = LimitNotice::Unlimited;
+                shell.submit(HostEvent::LimitStatement(key, dispatched, notice));
+            }
             shell.submit(HostEvent::AttemptEnded(request, number, outcome));
         });
     }
@@ -147,9 +153,11 @@
         let shell = Rc::clone(&self);
         let mut on_event = move |event: CallEvent| -> LocalBoxFuture<'static, bool> {
             match event {
-                CallEvent::Statement(status, statement) => {
+                CallEvent::Statement(status, mut statement) => {
                     times.borrow_mut().status = status;
                     times.borrow_mut().statement = statement;
+                    // Only the end of the answer shows whether that counts.
+                    statement.limit.take_if(|notice| *notice == LimitNotice::Unlimited);
                     shell.submit_statement(plan.upstream, plan.dispatched, &statement);
                     futures::future::ready(true).boxed_local()
                 }
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -170,6 +170,14 @@
         self.parts += 1;
     }
 
+    /// Whether the attempt ended with a complete, successful answer that names no limit.
+    pub fn is_without_limit(&self, outcome: &AttemptOutcome) -> bool {
+        let is_whole = matches!(outcome, AttemptOutcome::Streamed | AttemptOutcome::Answered(_));
+        is_whole
+            && (200..300).contains(&self.status)
+            && self.statement.limit == Some(LimitNotice::Unlimited)
+    }
+
     /// Whether the upstream began an answer and did not complete it.
     pub fn is_truncated(&self) -> bool {
         self.body_end.is_some_and(|end| {
--- a/components/fuzzer/src/world/calls.rs
+++ b/components/fuzzer/src/world/calls.rs
@@ -245,14 +245,14 @@
         }
         if let Some(engine) = self.engines.get_mut(call.upstream) {
             if !engine.is_ready(self.now, &call.asset) {
-                self.schedule_limit_notice(&call, 1_000);
+                self.schedule_limit_notice(&call, 1_000, true);
                 self.schedule_attempt_end(&call, 1_000, AttemptOutcome::NotRun { misplaced: true });
                 return;
             }
             engine.count_running(&call.asset, true);
             if self.chance(20) {
                 self.engines[call.upstream].count_running(&call.asset, false);
-                self.schedule_limit_notice(&call, 1_000);
+                self.schedule_limit_notice(&call, 1_000, true);
                 self.schedule_attempt_end(
                     &call,
                     1_000,
@@ -288,7 +288,7 @@
             self.schedule_attempt_end(&call, CALL_TIMEOUT, AttemptOutcome::Broken);
             return;
         }
-        self.schedule_limit_notice(&call, 1_000);
+        self.schedule_limit_notice(&call, 1_000, false);
         if self.finish_stream(&call) {
             return;
         }
--- a/components/fuzzer/src/world/limits.rs
+++ b/components/fuzzer/src/world/limits.rs
@@ -106,14 +106,22 @@
     }
 
     /// Schedules that the answer to a call, which comes after `delay`, tells the limit of its engine.
-    pub(super) fn schedule_limit_notice(&mut self, call: &DispatchedCall, delay: u64) {
+    /// Answers that turn a request away do not show that there is none.
+    pub(super) fn schedule_limit_notice(
+        &mut self,
+        call: &DispatchedCall,
+        delay: u64,
+        turned_away: bool,
+    ) {
         let Some(engine) = self.engines.get(call.upstream) else {
             return;
         };
         let (notice, unnamed) = (engine.limit.notice(), engine.limit.unnamed);
         let is_named = unnamed == 0 || !self.chance(unnamed);
         let notice = if is_named { notice } else { LimitNotice::Unlimited };
-        self.schedule_after(delay, ScheduledEvent::LimitNotice(call.clone(), notice));
+        if notice != LimitNotice::Unlimited || !turned_away {
+            self.schedule_after(delay, ScheduledEvent::LimitNotice(call.clone(), notice));
+        }
     }
 
     pub(super) fn deliver_limit(&mut self, call: &DispatchedCall, notice: LimitNotice) {
--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -100,8 +100,8 @@
     arrivals: Vec<Instant>,
     /// Limit that answers name, in requests a second; no limit if empty.
     limit: String,
-    /// Every request with a number divisible by this one fails; none if 0.
-    failing: usize,
+    /// Only requests with a number divisible by this one succeed; all if 0.
+    succeeding: usize,
     leaving: LeavingAnswers,
 }
 
@@ -177,9 +177,10 @@
         limit.clone_into(&mut self.lock().limit);
     }
 
-    /// Answers one in `interval` later requests with status 500, which says nothing about the engine.
-    pub fn fail_one_in(&self, interval: usize) {
-        self.lock().failing = interval;
+    /// Answers all but one in `interval` later requests with status 500, and says nothing about the
+    /// engine in these answers.
+    pub fn succeed_one_in(&self, interval: usize) {
+        self.lock().succeeding = interval;
     }
 
     /// Says in all later answers that the engine is leaving. Its entry in the store stays as it is.
@@ -230,7 +231,7 @@
             headers.extend(statements);
             return StandInAnswer::Reply(421, headers, Bytes::new());
         }
-        if state.failing > 0 && state.arrivals.len().is_multiple_of(state.failing) {
+        if state.succeeding > 0 && !state.arrivals.len().is_multiple_of(state.succeeding) {
             return StandInAnswer::Reply(500, Vec::new(), Bytes::new());
         }
         let after = request.header("last-event-id").parse().ok();
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -695,7 +695,7 @@
 #[test]
 fn can_keep_the_limit_of_an_engine_whose_errors_do_not_name_it() {
     run(async {
-        let answers = answers_within_limit(|engine| engine.fail_one_in(3)).await;
+        let answers = answers_within_limit(|engine| engine.succeed_one_in(5)).await;
         assert!(answers.iter().any(|answer| answer.status == 500), "no error was passed on");
     });
 }
