Start the next process of an upstream with the limit of the one before

What operators may see: an upstream in need restarts under its name, and before its first answer every host sends to it as if it had no limit; with 60 hosts that is a burst of 60 requests and more.

Cause: a limit belongs to the process that named it, and the next process began without one.

Change: when a host first sees the entry of another process, it takes over the limit of the process before and reports it; the leader ends it as usual if the new process does not name it.

--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -384,6 +384,24 @@
         }
     }
 
+    /// Takes over the limit of an upstream's process before for `next`, which has started in its
+    /// place. Whatever the upstream was in need of, it is likely to be so still.
+    pub(super) fn inherit_limit(
+        &mut self,
+        now: Moment,
+        next: UpstreamKey,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        let Some(before) = self.catalog.process_before(next) else {
+            return;
+        };
+        if self.limits.view.inherit(now, before, next) {
+            let reason = "named by the process before";
+            self.log_new_rate(next, None, reason, String::new(), effects);
+            self.limit_learned(now, next, effects);
+        }
+    }
+
     /// Drops what another leader granted, because a new one was found. It may not have the limits that
     /// this host knows.
     pub(super) fn limit_leader_replaced(&mut self) {
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -191,9 +191,14 @@
             service: Some(service),
             registered: true,
         };
-        let Some(key) = self.catalog.register_upstream(record, upstream.started_ms) else {
+        let started_ms = upstream.started_ms;
+        let known = self.catalog.process_named(&upstream.name, started_ms);
+        let Some(key) = self.catalog.register_upstream(record, started_ms) else {
             return;
         };
+        if known != Some(key) {
+            self.inherit_limit(now, key, effects);
+        }
         self.members.put_upstream(&upstream.name, Some(upstream.state));
         if upstream.state == ListedState::Leaving {
             // A heartbeat written late may say again that it stays.
--- a/components/decisions/src/limits/view.rs
+++ b/components/decisions/src/limits/view.rs
@@ -239,6 +239,12 @@
         }
     }
 
+    /// Takes over the limit of the upstream's process before for its next one. Returns whether the
+    /// leader has to learn of it.
+    pub fn inherit(&mut self, now: Moment, before: UpstreamKey, next: UpstreamKey) -> bool {
+        self.rate(before).is_some_and(|rate| self.name(now, next, rate))
+    }
+
     /// Whether the leader of a scope may not have all that is known of the upstreams for which
     /// `covers` is true.
     pub fn has_news(&self, covers: impl Fn(UpstreamKey) -> bool) -> bool {
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -22,6 +22,7 @@
 use wagtailledge_decisions::event::RegisteredUpstream;
 use wagtailledge_decisions::event::RegistryChange;
 use wagtailledge_decisions::limits::LimitNotice;
+use wagtailledge_decisions::limits::LimitTerm;
 use wagtailledge_decisions::limits::RequestRate;
 use wagtailledge_decisions::message::LeaderNotice;
 use wagtailledge_decisions::message::LimitRow;
@@ -230,6 +231,31 @@
     }
 }
 
+#[test]
+fn can_end_the_limit_of_a_restarted_upstream_for_good() {
+    let mut reader = EntryReader::new();
+    let notice = LimitNotice::Limited(RequestRate(100));
+    reader.host.submit(HostEvent::LimitStatement(reader.key(), reader.host.now, notice));
+    reader.put_entry(2, ListedState::Live);
+    let mut ended: LimitRow =
+        serde_json::from_str("{\"u\":\"registered\",\"b\":2,\"l\":null,\"a\":0}").unwrap();
+    ended.term = Some(LimitTerm(1, 7));
+    reader.host.receive(PeerMessage::Leader(leader_notice(LimitTable::default())));
+    reader.host.advance(10);
+    let PeerMessage::Demand(report) = last_report(&reader.host) else {
+        panic!("no report");
+    };
+    assert_eq!(report.limits.rows.len(), 2, "both processes");
+    let (rows, report) = (vec![ended], report.limits.number);
+    let limits = LimitTable { rows, version: 1, report, ..LimitTable::default() };
+    reader.host.receive(PeerMessage::Leader(leader_notice(limits)));
+    assert!(reader.requests_to_registered() > 0);
+    // Outlasts the time for which ends are remembered.
+    reader.host.advance(70_000);
+    reader.put_entry(2, ListedState::Live);
+    assert!(reader.requests_to_registered() > 0, "after the next heartbeat");
+}
+
 #[test]
 fn can_send_nothing_new_to_a_leaving_upstream_whose_entry_says_again_that_it_stays() {
     let mut reader = EntryReader::new();
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -192,6 +192,13 @@
         keys.get(&started_ms).or_else(|| keys.get(&UNDATED)).copied()
     }
 
+    /// The process of the same upstream that started last before this one; `None` if none is known.
+    pub fn process_before(&self, key: UpstreamKey) -> Option<UpstreamKey> {
+        let process = self.processes.get(key)?;
+        let earlier = self.process_keys.get(&process.name)?.range(..process.started_ms);
+        earlier.last().map(|(_, key)| *key)
+    }
+
     /// Whether the process of an upstream is known, even if the upstream has no record now.
     pub fn has_process(&self, key: UpstreamKey) -> bool {
         self.processes.contains_key(key)
