--- a/components/fuzzer/tests/limits.rs
+++ b/components/fuzzer/tests/limits.rs
@@ -195,29 +195,34 @@
     (0..SEEDS).filter_map(run).collect()
 }
 
-/// Lifts the limit at the start of every ten seconds and names it again two seconds later. Then the
-/// leader of the engine's zone freezes.
-fn lift_and_name_again(engine: usize) -> impl FnMut(&mut FuzzWorld, u64) {
-    move |world, second| match (second % 10, world.leader_slot(world.zone_of_engine(engine))) {
-        (0, _) => world.set_limit(engine, None),
-        (2, _) => world.set_limit(engine, Some(LIMIT)),
-        (4, Some(slot)) => world.freeze_for(slot, 2 * SECOND),
-        _ => {}
+/// Lifts the limit at the start of every ten seconds and names it again `pause` seconds later. Two
+/// seconds after that, the leader of the engine's zone freezes.
+fn lift_and_name_again(engine: usize, pause: u64) -> impl FnMut(&mut FuzzWorld, u64) {
+    move |world, second| {
+        let leader = world.leader_slot(world.zone_of_engine(engine));
+        match (second % 10, leader) {
+            (0, _) => world.set_limit(engine, None),
+            (named, _) if named == pause => world.set_limit(engine, Some(LIMIT)),
+            (later, Some(slot)) if later == pause + 2 => world.freeze_for(slot, 2 * SECOND),
+            _ => {}
+        }
     }
 }
 
 #[test]
 fn can_keep_a_limit_that_ended_and_was_named_again_while_messages_are_late() {
-    for (hosts, longest_delay) in [(2, 300_000), (2, SECOND), (2, 2 * SECOND), (18, 2 * SECOND)] {
+    let delays = [(2, 300_000), (2, SECOND), (2, 2 * SECOND), (18, 2 * SECOND)];
+    for ((hosts, longest_delay), pause) in delays.into_iter().flat_map(|run| [(run, 2), (run, 5)]) {
         let broken = broken_runs(|seed| {
             let mut limited = LimitedWorld::start_in_zones(seed, [hosts; 4]);
             limited.world.set_loss(10);
             limited.world.set_message_delay(longest_delay);
             let engine = limited.engine;
-            limited.run(LIMITED_TIME, lift_and_name_again(engine));
+            limited.run(LIMITED_TIME, lift_and_name_again(engine, pause));
             limited
         });
-        assert!(broken.is_empty(), "{hosts} hosts a zone, up to {longest_delay} us: {broken:#?}");
+        let run = format!("{hosts} hosts a zone, up to {longest_delay} us, after {pause} s");
+        assert!(broken.is_empty(), "{run}: {broken:#?}");
     }
 }
 
