Let simulated engines leave their limit unnamed in random scripts

The number that selects an engine's limit now also selects whether 0, 5 or 10 answers in 100 omit it. The generator of scripts is unchanged.

--- a/components/fuzzer/src/action.rs
+++ b/components/fuzzer/src/action.rs
@@ -68,7 +68,8 @@
     RestartEngine(u8),
     /// Marks an engine as leaving, or as live again.
     ToggleEngine(u8),
-    /// Makes an engine name a limit in its answers, or none: engine, and number that selects the limit.
+    /// Makes an engine name a limit in its answers, or none: engine, and number that selects the limit
+    /// and the share of answers that leave it unnamed.
     LimitEngine(u8, u8),
     /// Slows loads down by a factor of 1 to 8: one more than the value modulo 8.
     SlowStore(u8),
--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -38,6 +38,9 @@
 const LIMITS: [Option<RequestRate>; 4] =
     [None, Some(RequestRate(500)), Some(RequestRate(1_000)), Some(RequestRate(4_000))];
 
+/// Shares of answers that do not name the limit in force, per thousand.
+const UNNAMED: [u32; 4] = [0, 0, 50, 100];
+
 /// A duration of `count` + 1 script units.
 fn script_units(count: u8) -> Duration {
     Duration::from_millis(UNIT_MILLIS * (1 + u64::from(count)))
@@ -195,8 +198,10 @@
             }
             FuzzAction::LimitEngine(engine, rate) => {
                 let index = usize::from(engine) % self.engines.len();
-                let rate = LIMITS[usize::from(rate) % LIMITS.len()];
-                self.engines[index].limit.set(self.now, rate);
+                let choice = usize::from(rate);
+                let unnamed = UNNAMED[choice / LIMITS.len() % UNNAMED.len()];
+                self.engines[index].limit.set(self.now, LIMITS[choice % LIMITS.len()]);
+                self.engines[index].limit.set_unnamed(unnamed);
             }
             FuzzAction::SlowStore(factor) => self.faults.load_factor = 1 + u64::from(factor) % 8,
             FuzzAction::Network { loss, twice, delay } => {
