Keep a limit that was named again before its published end arrived

What an operator may see: a host that an engine has just told its limit sends without permits.

Cause, found by reading: a host reports nothing while answers name the limit that it already keeps. If the end of that limit is in transit to it meanwhile, with none of the steps before it, the host believes the end although an answer told it otherwise after the leader had decided.

Change: such an end does not apply at a host whose answers have named the limit since it last changed there, if the host has not seen it being eased; the host reports the limit again, and the leader decides.

can_keep_a_limit_that_was_named_again_before_its_published_end_arrived. Without the change the host of that test sends its request at once, as the case without a second naming does.

The states of a limit that a leader numbers are called phases, since a term is one of leadership. A limit of a new process is taken over after its entry's state is known.

--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -16,6 +16,7 @@
 use crate::limits::LimitAuthority;
 use crate::limits::LimitEvidence;
 use crate::limits::LimitNotice;
+use crate::limits::LimitPhase;
 use crate::limits::LimitPressure;
 use crate::limits::LimitView;
 use crate::limits::PermitAllocator;
@@ -182,8 +183,8 @@
                 self.limits.view.publish(now, upstream, published);
             }
         }
-        for (upstream, sign) in evidence {
-            let eased = authority.ease(upstream, sign);
+        for (upstream, evidence) in evidence {
+            let eased = authority.ease(upstream, evidence);
             if let Some(published) = authority.published(upstream).filter(|_| eased) {
                 self.limits.view.publish(now, upstream, published);
                 let granted = authority.granted().find(|(key, _)| *key == upstream);
@@ -191,7 +192,8 @@
                     || "none".to_owned(),
                     |(_, rate)| format!("{rate} a second granted"),
                 );
-                let inputs = format!("term {} of epoch {}", sign.term.1, sign.term.0);
+                let LimitPhase(epoch, number) = evidence.phase;
+                let inputs = format!("phase {number} of epoch {epoch}");
                 let reason = "an answer did not name it";
                 self.log_limit(upstream, choice, reason, inputs, effects);
             }
@@ -222,7 +224,7 @@
         }
     }
 
-    /// Records the signs that limits are over which another host reports.
+    /// Records the evidence about limits that another host reports.
     pub(super) fn merge_evidence(
         &mut self,
         now: Moment,
@@ -233,7 +235,7 @@
             let Some(upstream) = self.catalog.process_named(&row.upstream, row.started_ms) else {
                 continue;
             };
-            let evidence = LimitEvidence { term: row.term, raised: row.raised };
+            let evidence = LimitEvidence { phase: row.phase, raised: row.raised };
             if self.limits.view.add_evidence(upstream, evidence) {
                 self.limit_learned(now, upstream, effects);
             }
@@ -261,7 +263,7 @@
             let Some(upstream) = process else {
                 continue;
             };
-            let published = PublishedLimit { rate: row.rate, term: row.term, eased: row.eased };
+            let published = PublishedLimit { rate: row.rate, phase: row.phase, eased: row.eased };
             rows.insert(upstream, published);
             // Earlier builds publish the age of the statement that applies, and only that.
             if table.version == 0 && row.rate.is_some() {
@@ -279,6 +281,7 @@
                 from_own_leader || record.is_some_and(|record| record.scope == from.scope)
             };
             changed |= self.limits.view.apply_table(now, &rows, table.report, covers);
+            self.leader_sync.dirty |= self.limits.view.has_news(covers);
         }
         if !changed {
             return;
@@ -428,13 +431,13 @@
         age: Duration,
     ) -> Option<LimitRow> {
         let process = self.catalog.process(key)?;
-        let PublishedLimit { rate, term, eased } = published;
+        let PublishedLimit { rate, phase, eased } = published;
         Some(LimitRow {
             upstream: process.name.clone(),
             started_ms: process.started_ms,
             rate,
             age_ms: age.as_millis() as u64,
-            term,
+            phase,
             eased,
         })
     }
--- a/components/decisions/src/host/permits.rs
+++ b/components/decisions/src/host/permits.rs
@@ -89,8 +89,8 @@
         LimitReport { number, rows, evidence, wants }
     }
 
-    /// Limits of the upstreams for which `covers` is true that their leader may not have, and the signs
-    /// that limits are over.
+    /// Limits of the upstreams for which `covers` is true that their leader may not have, and the
+    /// evidence about limits.
     fn limit_news(
         &self,
         now: Moment,
@@ -102,16 +102,16 @@
             self.limit_row(key, published, age)
         };
         let evidence = self.limits.view.evidence().filter(|(key, _)| covers(*key));
-        let sign = |(key, evidence): (UpstreamKey, LimitEvidence)| {
+        let evidence_row = |(key, evidence): (UpstreamKey, LimitEvidence)| {
             let process = self.catalog.process(key)?;
             Some(EvidenceRow {
                 upstream: process.name.clone(),
                 started_ms: process.started_ms,
-                term: evidence.term,
+                phase: evidence.phase,
                 raised: evidence.raised,
             })
         };
-        (named.filter_map(row).collect(), evidence.filter_map(sign).collect())
+        (named.filter_map(row).collect(), evidence.filter_map(evidence_row).collect())
     }
 
     /// Whether this host has to repeat what it waits for, or what its leader may not have.
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -196,14 +196,14 @@
         let Some(key) = self.catalog.register_upstream(record, started_ms) else {
             return;
         };
-        if known != Some(key) {
-            self.inherit_limit(now, key, effects);
-        }
         self.members.put_upstream(&upstream.name, Some(upstream.state));
         if upstream.state == ListedState::Leaving {
             // A heartbeat written late may say again that it stays.
             self.members.record_leaving(key);
         }
+        if known != Some(key) {
+            self.inherit_limit(now, key, effects);
+        }
         if let Some(report) = &upstream.report {
             self.apply_engine_report(now, key, upstream, report, effects);
         }
--- a/components/decisions/src/limits/authority.rs
+++ b/components/decisions/src/limits/authority.rs
@@ -4,75 +4,75 @@
 use wagtailledge_inventory::UpstreamKey;
 
 use super::notice::LimitEvidence;
-use super::notice::LimitTerm;
+use super::notice::LimitPhase;
 use super::notice::PublishedLimit;
 use super::notice::RequestRate;
 
 /// Terms in a row whose answers must leave the limit unnamed until it has ended. Each of them doubles
 /// the requests granted, so that an answer which only omits the limit does little harm.
-const EASING_TERMS: u32 = 5;
+const EASING_PHASES: u32 = 5;
 
 /// Limit of one upstream.
 #[derive(Debug, Clone, Copy)]
 struct DecidedLimit {
     named: RequestRate,
-    /// Number of terms in a row whose answers did not name the limit.
-    unnamed_terms: u32,
-    term: LimitTerm,
+    /// Number of phases in a row whose answers did not name the limit.
+    unnamed_phases: u32,
+    phase: LimitPhase,
 }
 
 impl DecidedLimit {
     fn has_ended(&self) -> bool {
-        self.unnamed_terms >= EASING_TERMS
+        self.unnamed_phases >= EASING_PHASES
     }
 }
 
 /// Limits of a scope's upstreams, as decided by the scope's leader.
 ///
-/// A limit that any answer names applies at once. It ends in terms: a complete answer without the
-/// limit, to a request that was sent when its host knew the present term, ends that term.
+/// A limit that any answer names applies at once. It ends in phases: a complete answer without the
+/// limit, to a request that was sent when its host knew the present phase, ends that phase.
 #[derive(Debug, Clone)]
 pub struct LimitAuthority {
     /// Epoch of the leader.
     epoch: u64,
-    /// Number of the latest term of any limit.
-    last_term: u64,
+    /// Number of the latest phase of any limit.
+    last_phase: u64,
     limits: SecondaryMap<UpstreamKey, DecidedLimit>,
 }
 
 impl LimitAuthority {
     /// Creates the state of a new leader without limits.
     pub fn new(epoch: u64) -> Self {
-        Self { epoch, last_term: 0, limits: SecondaryMap::new() }
+        Self { epoch, last_phase: 0, limits: SecondaryMap::new() }
     }
 
-    fn next_term(&mut self) -> LimitTerm {
-        self.last_term += 1;
-        LimitTerm(self.epoch, self.last_term)
+    fn next_phase(&mut self) -> LimitPhase {
+        self.last_phase += 1;
+        LimitPhase(self.epoch, self.last_phase)
     }
 
     /// Applies a limit that an answer named. It lowers a limit in force and never raises it.
     pub fn name(&mut self, upstream: UpstreamKey, rate: RequestRate) {
         let known = self.limits.get(upstream).filter(|known| !known.has_ended());
         let named = known.map_or(rate, |known| known.named.min(rate));
-        if known.is_some_and(|known| known.named == named && known.unnamed_terms == 0) {
+        if known.is_some_and(|known| known.named == named && known.unnamed_phases == 0) {
             return;
         }
-        let term = self.next_term();
-        self.limits.insert(upstream, DecidedLimit { named, unnamed_terms: 0, term });
+        let phase = self.next_phase();
+        self.limits.insert(upstream, DecidedLimit { named, unnamed_phases: 0, phase });
     }
 
-    /// Ends the term of a limit, if the evidence is about the present one. Returns whether it is.
+    /// Ends the phase of a limit, if the evidence is about the present one. Returns whether it is.
     pub fn ease(&mut self, upstream: UpstreamKey, evidence: LimitEvidence) -> bool {
         let known = self.limits.get(upstream).copied();
-        let Some(known) = known.filter(|known| known.term == evidence.term && !known.has_ended())
+        let Some(known) = known.filter(|known| known.phase == evidence.phase && !known.has_ended())
         else {
             return false;
         };
-        let term = self.next_term();
+        let phase = self.next_phase();
         let limit = match evidence.raised {
-            Some(named) => DecidedLimit { named, unnamed_terms: 0, term },
-            None => DecidedLimit { unnamed_terms: known.unnamed_terms + 1, term, ..known },
+            Some(named) => DecidedLimit { named, unnamed_phases: 0, phase },
+            None => DecidedLimit { unnamed_phases: known.unnamed_phases + 1, phase, ..known },
         };
         self.limits.insert(upstream, limit);
         true
@@ -83,15 +83,15 @@
         let limit = self.limits.get(upstream)?;
         Some(PublishedLimit {
             rate: (!limit.has_ended()).then_some(limit.named),
-            term: Some(limit.term),
-            eased: limit.unnamed_terms > 0,
+            phase: Some(limit.phase),
+            eased: limit.unnamed_phases > 0,
         })
     }
 
     /// Upstreams with a limit, and the requests a second that are granted for them now.
     pub fn granted(&self) -> impl Iterator<Item = (UpstreamKey, RequestRate)> + '_ {
         let in_force = self.limits.iter().filter(|(_, limit)| !limit.has_ended());
-        in_force.map(|(key, limit)| (key, RequestRate(limit.named.0 << limit.unnamed_terms)))
+        in_force.map(|(key, limit)| (key, RequestRate(limit.named.0 << limit.unnamed_phases)))
     }
 
     /// Forgets the limits of upstreams for which `exists` is false.
--- a/components/decisions/src/limits/notice.rs
+++ b/components/decisions/src/limits/notice.rs
@@ -27,16 +27,16 @@
     Unlimited,
 }
 
-/// Identifies a state of a limit at the leader of its upstream's scope: the leader's epoch, and a
-/// number that grows with each change.
+/// Identifies a phase of a limit: the epoch of the leader that decides about it, and a number that
+/// grows with each change of any limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitTerm(pub u64, pub u64);
+pub struct LimitPhase(pub u64, pub u64);
 
-/// Sign that the term of a limit is over, from an answer to a request that was sent within the term.
+/// Evidence that the phase of a limit is over, from an answer to a request that was sent in it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitEvidence {
-    /// The term.
-    pub term: LimitTerm,
+    /// The phase.
+    pub phase: LimitPhase,
     /// The higher limit that the answer named; `None` if it named none.
     pub raised: Option<RequestRate>,
 }
@@ -46,8 +46,8 @@
 pub struct PublishedLimit {
     /// The limit that the upstream named; `None` if it has ended.
     pub rate: Option<RequestRate>,
-    /// Term of this state; `None` if the leader of the upstream's scope has not confirmed it.
-    pub term: Option<LimitTerm>,
+    /// Phase of the limit; `None` if the leader of the upstream's scope has not confirmed it.
+    pub phase: Option<LimitPhase>,
     /// Whether more requests than that are granted, because answers no longer name it.
     pub eased: bool,
 }
--- a/components/decisions/src/limits/view.rs
+++ b/components/decisions/src/limits/view.rs
@@ -10,7 +10,7 @@
 
 use super::notice::LimitEvidence;
 use super::notice::LimitNotice;
-use super::notice::LimitTerm;
+use super::notice::LimitPhase;
 use super::notice::PublishedLimit;
 use super::notice::RequestRate;
 use super::permits::is_report_since;
@@ -28,10 +28,12 @@
     },
     /// The leader published it.
     Published {
-        term: Option<LimitTerm>,
+        phase: Option<LimitPhase>,
         eased: bool,
-        /// When this host learned of the term.
+        /// When this host learned of the phase.
         since: Moment,
+        /// Whether an answer to this host has named the limit since then.
+        renamed: bool,
     },
 }
 
@@ -50,10 +52,10 @@
     fn published(&self) -> PublishedLimit {
         match self.standing {
             LimitStanding::Named { .. } => {
-                PublishedLimit { rate: self.rate, term: None, eased: false }
+                PublishedLimit { rate: self.rate, phase: None, eased: false }
             }
-            LimitStanding::Published { term, eased, .. } => {
-                PublishedLimit { rate: self.rate, term, eased }
+            LimitStanding::Published { phase, eased, .. } => {
+                PublishedLimit { rate: self.rate, phase, eased }
             }
         }
     }
@@ -72,7 +74,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LimitView {
     limits: SecondaryMap<UpstreamKey, KnownLimit>,
-    /// Signs that the present term of a limit is over, which the leader of its scope may not have.
+    /// Evidence that the present phase of a limit is over, which the leader of its scope may not have.
     evidence: SecondaryMap<UpstreamKey, LimitEvidence>,
 }
 
@@ -109,14 +111,17 @@
                 }
                 Some(rate)
             }
-            LimitNotice::Limited(rate) => return self.name(now, upstream, rate),
+            LimitNotice::Limited(rate) => {
+                self.mark_renamed(upstream);
+                return self.name(now, upstream, rate);
+            }
         };
         match self.limits.get(upstream).map(|known| known.standing) {
-            // An answer that began before the term says nothing about its end.
-            Some(LimitStanding::Published { term: Some(term), since, .. })
+            // An answer that began before the phase says nothing about its end.
+            Some(LimitStanding::Published { phase: Some(phase), since, .. })
                 if dispatched >= since =>
             {
-                self.add_evidence(upstream, LimitEvidence { term, raised })
+                self.add_evidence(upstream, LimitEvidence { phase, raised })
             }
             _ => false,
         }
@@ -136,18 +141,24 @@
         true
     }
 
+    fn mark_renamed(&mut self, upstream: UpstreamKey) {
+        let standing = self.limits.get_mut(upstream).map(|known| &mut known.standing);
+        if let Some(LimitStanding::Published { renamed, .. }) = standing {
+            *renamed = true;
+        }
+    }
+
     /// Whether the leader grants more requests than the limit of an upstream allows.
     fn is_eased(&self, upstream: UpstreamKey) -> bool {
         self.limits.get(upstream).is_some_and(|known| known.published().eased)
     }
 
-    /// Records a sign that the term of a limit is over, unless it has been replaced. Returns whether
-    /// it is new.
+    /// Records evidence about a limit, unless it is about another phase. Returns whether it is new.
     pub fn add_evidence(&mut self, upstream: UpstreamKey, evidence: LimitEvidence) -> bool {
         let Some(known) = self.limits.get(upstream).filter(|known| known.rate.is_some()) else {
             return false;
         };
-        if known.published().term != Some(evidence.term) {
+        if known.published().phase != Some(evidence.phase) {
             return false;
         }
         let last = self.evidence.get(upstream).copied();
@@ -172,8 +183,8 @@
         if known.is_none() && published.rate.is_none() {
             return false;
         }
-        let PublishedLimit { rate, term, eased } = published;
-        let standing = LimitStanding::Published { term, eased, since: now };
+        let PublishedLimit { rate, phase, eased } = published;
+        let standing = LimitStanding::Published { phase, eased, since: now, renamed: false };
         self.limits.insert(upstream, KnownLimit { rate, standing, learned_at: now });
         self.evidence.remove(upstream);
         true
@@ -191,6 +202,9 @@
     ) -> bool {
         let mut changed = false;
         for (upstream, published) in rows.iter().filter(|(key, _)| covers(**key)) {
+            if published.rate.is_none() {
+                changed |= self.reconsider_end(*upstream);
+            }
             let standing = self.limits.get(*upstream).map(|known| known.standing);
             changed |= match (standing, published.rate) {
                 (Some(LimitStanding::Named { first_report }), rate)
@@ -204,22 +218,35 @@
         let missing = |key: &UpstreamKey| covers(*key) && !rows.contains_key(key);
         let keys: Vec<UpstreamKey> = self.limits.keys().filter(missing).collect();
         for upstream in keys {
-            let Some(known) = self.limits.get_mut(upstream) else {
-                continue;
-            };
-            match &mut known.standing {
+            changed |= self.reconsider_end(upstream);
+            let standing = self.limits.get_mut(upstream).map(|known| &mut known.standing);
+            if let Some(LimitStanding::Named { first_report }) = standing {
                 // The leader does not know the process yet.
-                LimitStanding::Named { first_report } => *first_report = None,
-                LimitStanding::Published { .. } => {
-                    self.limits.remove(upstream);
-                    self.evidence.remove(upstream);
-                    changed = true;
-                }
+                *first_report = None;
+            } else {
+                self.limits.remove(upstream);
+                self.evidence.remove(upstream);
+                changed = true;
             }
         }
         changed
     }
 
+    /// Counts a limit as unknown to the leader that has published its end, if an answer to this host
+    /// has named it and this host has not seen it being eased since, so that it reported nothing.
+    /// Returns whether that is so.
+    fn reconsider_end(&mut self, upstream: UpstreamKey) -> bool {
+        let standing = self.limits.get_mut(upstream).map(|known| &mut known.standing);
+        match standing {
+            Some(standing @ LimitStanding::Published { eased: false, renamed: true, .. }) => {
+                *standing = LimitStanding::Named { first_report: None };
+                self.evidence.remove(upstream);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Applies the end of a limit that a leader of an earlier build publishes with the `age` of the
     /// answer that showed it. Returns whether anything changed.
     pub fn apply_dated_end(&mut self, now: Moment, upstream: UpstreamKey, age: Duration) -> bool {
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -11,7 +11,7 @@
 use crate::identity::HostIdentity;
 use crate::ledger::LedgerClaim;
 use crate::ledger::LedgerVerdict;
-use crate::limits::LimitTerm;
+use crate::limits::LimitPhase;
 use crate::limits::RequestRate;
 use crate::request::LedgerKey;
 
@@ -108,15 +108,15 @@
     /// Time since the sender learned of it, in milliseconds. Hosts of earlier builds order rows by it.
     #[serde(rename = "a")]
     pub age_ms: u64,
-    /// Term of this state; `None` if the leader of the upstream's scope has not confirmed it.
-    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
-    pub term: Option<LimitTerm>,
+    /// Phase of the limit; `None` if the leader of the upstream's scope has not confirmed it.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub phase: Option<LimitPhase>,
     /// Whether more requests than the limit are granted, because answers no longer name it.
     #[serde(rename = "e", default, skip_serializing_if = "std::ops::Not::not")]
     pub eased: bool,
 }
 
-/// Sign that a limit is over or higher, from an answer of its upstream.
+/// Evidence that a limit is over or higher, from an answer of its upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvidenceRow {
     /// Name of the upstream.
@@ -125,9 +125,9 @@
     /// When the upstream's process started, by its own clock.
     #[serde(rename = "b")]
     pub started_ms: u64,
-    /// Term of the limit when the request was sent.
-    #[serde(rename = "t")]
-    pub term: LimitTerm,
+    /// Phase of the limit when the request was sent.
+    #[serde(rename = "p")]
+    pub phase: LimitPhase,
     /// The higher limit that the answer named; `None` if it named none.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub raised: Option<RequestRate>,
@@ -198,7 +198,7 @@
     /// Limits that answers named and the leader may not know.
     #[serde(rename = "r", default)]
     pub rows: Vec<LimitRow>,
-    /// Signs that limits are over.
+    /// Evidence that limits are over or higher.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub evidence: Vec<EvidenceRow>,
     /// Waiting requests by upstream and rank.
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -22,7 +22,7 @@
 use wagtailledge_decisions::event::RegisteredUpstream;
 use wagtailledge_decisions::event::RegistryChange;
 use wagtailledge_decisions::limits::LimitNotice;
-use wagtailledge_decisions::limits::LimitTerm;
+use wagtailledge_decisions::limits::LimitPhase;
 use wagtailledge_decisions::limits::RequestRate;
 use wagtailledge_decisions::message::LeaderNotice;
 use wagtailledge_decisions::message::LimitRow;
@@ -239,7 +239,7 @@
     reader.put_entry(2, ListedState::Live);
     let mut ended: LimitRow =
         serde_json::from_str("{\"u\":\"registered\",\"b\":2,\"l\":null,\"a\":0}").unwrap();
-    ended.term = Some(LimitTerm(1, 7));
+    ended.phase = Some(LimitPhase(1, 7));
     reader.host.receive(PeerMessage::Leader(leader_notice(LimitTable::default())));
     reader.host.advance(10);
     let PeerMessage::Demand(report) = last_report(&reader.host) else {
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -20,7 +20,7 @@
 use wagtailledge_decisions::limits::LimitAuthority;
 use wagtailledge_decisions::limits::LimitEvidence;
 use wagtailledge_decisions::limits::LimitNotice;
-use wagtailledge_decisions::limits::LimitTerm;
+use wagtailledge_decisions::limits::LimitPhase;
 use wagtailledge_decisions::limits::PERMIT_LIFETIME;
 use wagtailledge_decisions::limits::PermitBucket;
 use wagtailledge_decisions::limits::RequestRate;
@@ -129,11 +129,11 @@
     })
 }
 
-/// What the leader publishes about the limit of the host's only engine, in term 1 of epoch 1, having
+/// What the leader publishes about the limit of the host's only engine, in phase 1 of epoch 1, having
 /// applied the report with the number `report`.
 fn limit_table(version: u64, report: u64, rate: Option<RequestRate>) -> LimitTable {
-    let term = Some(LimitTerm(1, 1));
-    let row = LimitRow { upstream: "llm".to_owned(), rate, term, ..LimitRow::default() };
+    let phase = Some(LimitPhase(1, 1));
+    let row = LimitRow { upstream: "llm".to_owned(), rate, phase, ..LimitRow::default() };
     LimitTable { grants: true, rows: vec![row], waits: Vec::new(), version, report }
 }
 
@@ -224,11 +224,11 @@
     host.receive(PeerMessage::Leader(leader_notice(limit_table(1, number, Some(ONE)))));
     host.submit(HostEvent::LimitStatement(engine, dispatched, LimitNotice::Unlimited));
     host.advance(1_000);
-    assert_eq!(last_report(&host).evidence, [], "the answer is older than the term");
+    assert_eq!(last_report(&host).evidence, [], "the answer is older than the phase");
     name_limit(&mut host, LimitNotice::Unlimited);
     host.advance(10);
-    let term = LimitTerm(1, 1);
-    let evidence = EvidenceRow { upstream: "llm".to_owned(), started_ms: 0, term, raised: None };
+    let phase = LimitPhase(1, 1);
+    let evidence = EvidenceRow { upstream: "llm".to_owned(), started_ms: 0, phase, raised: None };
     assert_eq!(last_report(&host).evidence, [evidence]);
     assert!(host.dispatches().is_empty(), "only the leader decides");
     host.receive(PeerMessage::Leader(leader_notice(limit_table(2, number, None))));
@@ -250,6 +250,28 @@
     assert_eq!(host.dispatches().len(), 1, "named again");
 }
 
+#[test]
+fn can_keep_a_limit_that_was_named_again_before_its_published_end_arrived() {
+    for named_again in [false, true] {
+        let mut host = waiting_host();
+        let number = last_report(&host).number;
+        host.receive(PeerMessage::Leader(leader_notice(limit_table(1, number, Some(ONE)))));
+        if named_again {
+            name_limit(&mut host, LimitNotice::Limited(ONE));
+        }
+        host.receive(PeerMessage::Leader(leader_notice(limit_table(9, number, None))));
+        assert_eq!(host.dispatches().is_empty(), named_again);
+        host.advance(1_000);
+        let reported = last_report(&host);
+        if named_again {
+            assert_eq!(reported.rows[0].rate, Some(ONE), "reported again");
+        }
+        let end = limit_table(9, reported.number, None);
+        host.receive(PeerMessage::Leader(leader_notice(end)));
+        assert_eq!(host.dispatches().len(), 1, "the leader has applied the report");
+    }
+}
+
 #[test]
 fn can_ignore_a_publication_that_a_later_one_has_overtaken() {
     let mut host = waiting_host();
@@ -295,10 +317,10 @@
     TestHost::new().reducer.catalog().upstream_named("llm").unwrap()
 }
 
-/// Sign that the present term of the limit is over.
+/// Evidence that the present phase of the limit is over.
 fn evidence(authority: &LimitAuthority, key: UpstreamKey) -> LimitEvidence {
-    let term = authority.published(key).and_then(|limit| limit.term).expect("a term");
-    LimitEvidence { term, raised: None }
+    let phase = authority.published(key).and_then(|limit| limit.phase).expect("a phase");
+    LimitEvidence { phase, raised: None }
 }
 
 fn granted(authority: &LimitAuthority) -> Vec<u64> {
@@ -312,9 +334,9 @@
     authority.name(key, ONE);
     for rate in [1_000, 2_000, 4_000, 8_000, 16_000] {
         assert_eq!(granted(&authority), [rate]);
-        let sign = evidence(&authority, key);
-        assert!(authority.ease(key, sign));
-        assert!(!authority.ease(key, sign), "the term is over");
+        let unnamed = evidence(&authority, key);
+        assert!(authority.ease(key, unnamed));
+        assert!(!authority.ease(key, unnamed), "the phase is over");
     }
     assert_eq!(authority.published(key).unwrap().rate, None);
     authority.name(key, ONE);
