Change nothing by a single answer that omits a limit

Cause: each of five phases without the limit doubled the requests granted, the first one too.

Change: six phases, of which the first changes nothing. The end comes about a second later.

can_end_a_limit_only_step_by_step expects the new steps; it checked the old ones.

--- a/components/decisions/src/limits/authority.rs
+++ b/components/decisions/src/limits/authority.rs
@@ -8,9 +8,10 @@
 use super::notice::PublishedLimit;
 use super::notice::RequestRate;
 
-/// Terms in a row whose answers must leave the limit unnamed until it has ended. Each of them doubles
-/// the requests granted, so that an answer which only omits the limit does little harm.
-const EASING_PHASES: u32 = 5;
+/// Phases in a row whose answers must leave the limit unnamed until it has ended. The first changes
+/// nothing and each later one doubles the requests granted, so that answers which only omit the limit
+/// do little harm.
+const EASING_PHASES: u32 = 6;
 
 /// Limit of one upstream.
 #[derive(Debug, Clone, Copy)]
@@ -25,6 +26,10 @@
     fn has_ended(&self) -> bool {
         self.unnamed_phases >= EASING_PHASES
     }
+
+    fn granted(&self) -> RequestRate {
+        RequestRate(self.named.0 << self.unnamed_phases.saturating_sub(1))
+    }
 }
 
 /// Limits of a scope's upstreams, as decided by the scope's leader.
@@ -91,7 +96,7 @@
     /// Upstreams with a limit, and the requests a second that are granted for them now.
     pub fn granted(&self) -> impl Iterator<Item = (UpstreamKey, RequestRate)> + '_ {
         let in_force = self.limits.iter().filter(|(_, limit)| !limit.has_ended());
-        in_force.map(|(key, limit)| (key, RequestRate(limit.named.0 << limit.unnamed_phases)))
+        in_force.map(|(key, limit)| (key, limit.granted()))
     }
 
     /// Forgets the limits of upstreams for which `exists` is false.
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -332,7 +332,7 @@
     let key = upstream_key();
     let mut authority = LimitAuthority::new(1);
     authority.name(key, ONE);
-    for rate in [1_000, 2_000, 4_000, 8_000, 16_000] {
+    for rate in [1_000, 1_000, 2_000, 4_000, 8_000, 16_000] {
         assert_eq!(granted(&authority), [rate]);
         let unnamed = evidence(&authority, key);
         assert!(authority.ease(key, unnamed));
