Test that a leader publishes the limit of a process whose entry is missing

The rows were left out while the entry was missing, so hosts that saw the entry sooner than their leader did not learn the limit.

--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -483,6 +483,26 @@
     leader
 }
 
+#[test]
+fn can_publish_the_limit_of_a_process_whose_entry_is_missing() {
+    let notice = LimitNotice::Limited(RequestRate(100));
+    let mut leader =
+        told_leader(2, 2, |key, dispatched| HostEvent::LimitStatement(key, dispatched, notice));
+    let absent = RegistryChange::Absent(REGISTERED.to_owned(), 2);
+    leader.submit(HostEvent::Registry(vec![absent]));
+    leader.host.effects.clear();
+    leader.host.advance(2_000);
+    let published = |effect: &HostEffect| match effect {
+        HostEffect::Broadcast(_, message) => match message.as_ref() {
+            PeerMessage::Leader(notice) => notice.limits.rows.first().cloned(),
+            _ => None,
+        },
+        _ => None,
+    };
+    let row = leader.host.effects.iter().find_map(published).expect("a row");
+    assert_eq!((row.started_ms, row.rate), (2, Some(RequestRate(100))));
+}
+
 #[test]
 fn can_keep_what_a_process_said_apart_from_the_next_one_at_the_leader() {
     let notice = LimitNotice::Limited(RequestRate(100));
