Log when an eased limit applies again, and clear acknowledged reports

An answer that named a limit while it was eased returned to it, but no line said so, as the rate was the same. The leader's line for a higher limit gave the wrong reason. A host that had reported a limit and knew none any more kept its own copy of each notice, since its latest report stayed acknowledged. A change of an entry made a leader with news for another scope publish its limits again. `limit_learned` marked digests due twice.

--- a/components/decisions/src/host/limits.rs
+++ b/components/decisions/src/host/limits.rs
@@ -49,9 +49,9 @@
     pub(super) permits: HeldPermits,
     /// If this process leads: limits that its placement takes into account.
     pub(super) pressure: LimitPressure,
-    /// Present while this process leads.
+    /// Decides about the limits of this scope's upstreams; present while this process leads.
     pub(super) authority: Option<LimitAuthority>,
-    /// Present while this process leads.
+    /// Grants the permits for these upstreams; present while this process leads.
     pub(super) allocator: Option<PermitAllocator>,
     /// Number of changes of what this process publishes about limits if it leads.
     pub(super) version: u64,
@@ -143,40 +143,42 @@
         if !self.catalog.has_process(upstream) {
             return;
         }
-        let before = self.limits.view.rate(upstream);
         if self.limits.view.observe(now, upstream, dispatched, notice) {
             let inputs = format!("request sent {} ms before", now.since(dispatched).as_millis());
-            self.log_new_rate(upstream, before, "named by an answer", inputs, effects);
-            self.limit_learned(now, upstream, effects);
+            self.limit_learned(now, upstream, "named by an answer", inputs, effects);
         }
     }
 
     /// Passes on what was learned of a limit: decides about it if this host leads the upstream's
-    /// scope, else tells the leader.
-    fn limit_learned(&mut self, now: Moment, upstream: UpstreamKey, effects: &mut Vec<HostEffect>) {
+    /// scope, else tells the leader. `reason` and `inputs` say how it was named, if it was.
+    fn limit_learned(
+        &mut self,
+        now: Moment,
+        upstream: UpstreamKey,
+        reason: &'static str,
+        inputs: String,
+        effects: &mut Vec<HostEffect>,
+    ) {
         if self.limits.view.is_named(upstream) {
             self.limits.permits.void(upstream);
             self.limits.foreign_permits.void(upstream);
+            self.log_rate(upstream, reason, inputs, effects);
         }
         self.leader_sync.dirty = true;
         self.decide_limits(now, effects);
-        if self.limits.view.has_news(|key| key == upstream) {
-            // The leader of another scope decides.
-            self.notices_due = true;
-            self.mark_digests_due();
-        }
         self.limits_changed(now, effects);
     }
 
     /// Decides about the limits of this scope's upstreams, if this host leads, by what was learned
-    /// since the last decision.
-    pub(super) fn decide_limits(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+    /// since the last decision. Returns whether there was anything.
+    pub(super) fn decide_limits(&mut self, now: Moment, effects: &mut Vec<HostEffect>) -> bool {
         let Some(mut authority) = self.limits.authority.take() else {
-            return;
+            return false;
         };
         let is_own = |key: &UpstreamKey| self.is_in_scope(*key, &self.me.scope);
         let named: Vec<_> = self.limits.view.named(now).filter(|(key, ..)| is_own(key)).collect();
         let evidence: Vec<_> = self.limits.view.evidence().filter(|(key, _)| is_own(key)).collect();
+        let is_due = !named.is_empty() || !evidence.is_empty();
         for (upstream, rate, _) in named {
             authority.name(upstream, rate);
             if let Some(published) = authority.published(upstream) {
@@ -194,11 +196,15 @@
                 );
                 let LimitPhase(epoch, number) = evidence.phase;
                 let inputs = format!("phase {number} of epoch {epoch}");
-                let reason = "an answer did not name it";
+                let reason = match evidence.raised {
+                    Some(_) => "an answer named a higher one",
+                    None => "an answer did not name it",
+                };
                 self.log_limit(upstream, choice, reason, inputs, effects);
             }
         }
         self.limits.authority = Some(authority);
+        is_due
     }
 
     /// Records the limits that answers named to another host.
@@ -215,11 +221,9 @@
             let Some((upstream, rate)) = process.zip(row.rate) else {
                 continue;
             };
-            let before = self.limits.view.rate(upstream);
             if self.limits.view.name(now, upstream, rate) {
                 let inputs = format!("from {}, {} ms old when sent", from.name, row.age_ms);
-                self.log_new_rate(upstream, before, "named to another host", inputs, effects);
-                self.limit_learned(now, upstream, effects);
+                self.limit_learned(now, upstream, "named to another host", inputs, effects);
             }
         }
     }
@@ -237,7 +241,7 @@
             };
             let evidence = LimitEvidence { phase: row.phase, raised: row.raised };
             if self.limits.view.add_evidence(upstream, evidence) {
-                self.limit_learned(now, upstream, effects);
+                self.limit_learned(now, upstream, "", String::new(), effects);
             }
         }
     }
@@ -288,8 +292,10 @@
         }
         for upstream in rows.into_keys().chain(known.keys().copied()).collect::<BTreeSet<_>>() {
             let before = known.get(&upstream).copied();
-            let inputs = format!("from {}, version {}", from.name, table.version);
-            self.log_new_rate(upstream, before, "published by a leader", inputs, effects);
+            if self.limits.view.rate(upstream) != before {
+                let inputs = format!("from {}, version {}", from.name, table.version);
+                self.log_rate(upstream, "published by a leader", inputs, effects);
+            }
         }
         self.limits_changed(now, effects);
     }
@@ -302,20 +308,17 @@
         last
     }
 
-    /// Logs the limit of an upstream if it was `before` until now and has changed.
-    fn log_new_rate(
+    /// Logs the limit of an upstream that this host knows now.
+    fn log_rate(
         &self,
         upstream: UpstreamKey,
-        before: Option<RequestRate>,
         reason: &'static str,
         inputs: String,
         effects: &mut Vec<HostEffect>,
     ) {
         let rate = self.limits.view.rate(upstream);
-        if rate != before {
-            let choice = rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate} a second"));
-            self.log_limit(upstream, choice, reason, inputs, effects);
-        }
+        let choice = rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate} a second"));
+        self.log_limit(upstream, choice, reason, inputs, effects);
     }
 
     fn log_limit(
@@ -399,9 +402,9 @@
             return;
         };
         if self.limits.view.inherit(now, before, next) {
-            let reason = "named by the process before";
-            self.log_new_rate(next, None, reason, String::new(), effects);
-            self.limit_learned(now, next, effects);
+            let started_ms = self.catalog.process(before).map_or(0, |process| process.started_ms);
+            let inputs = format!("after process {started_ms}");
+            self.limit_learned(now, next, "named by the process before", inputs, effects);
         }
     }
 
--- a/components/decisions/src/host/permits.rs
+++ b/components/decisions/src/host/permits.rs
@@ -210,7 +210,7 @@
         report: &LimitReport,
         effects: &mut Vec<HostEffect>,
     ) {
-        if report.number == OWN_REPORT || !self.record_limit_report(from, report) {
+        if !self.record_limit_report(from, report) {
             return;
         }
         self.merge_named_limits(now, from, &report.rows, effects);
@@ -248,6 +248,11 @@
         let Some(sync) = sync else {
             return false;
         };
+        if report.number == OWN_REPORT {
+            // The host knows no limits any more.
+            sync.limit_ack = 0;
+            return false;
+        }
         if is_report_since(sync.limit_report, report.number) {
             return false;
         }
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -100,8 +100,7 @@
             }
         }
         log_entries(logged, effects);
-        if self.limits.view.has_news(|_| true) {
-            self.decide_limits(now, effects);
+        if self.decide_limits(now, effects) {
             self.limits_changed(now, effects);
         }
         self.update_granted_rates(now);
--- a/components/decisions/src/limits/view.rs
+++ b/components/decisions/src/limits/view.rs
@@ -69,8 +69,8 @@
 /// its leader.
 ///
 /// A lower limit applies as soon as one answer names it. Only the leader of the upstream's scope
-/// decides that a limit is over or has risen, and only a publication that this host's report has
-/// preceded replaces what an answer named.
+/// decides that a limit is over or has risen. What an answer named holds here until the leader
+/// publishes something after it has applied this host's report with it.
 #[derive(Debug, Clone, Default)]
 pub struct LimitView {
     limits: SecondaryMap<UpstreamKey, KnownLimit>,
