Drop the unsent bytes of exchanges that were given up

Cause: an exchange that is given up closes its socket in the regular way, and the kernel goes on sending what the other side has not acknowledged, for minutes, with the token, permit or deadline of the time at which it was written. The same holds when the process is killed or stopped. `order_lifetime` assumed a bound that nothing kept. Besides, the authority was checked before the connection was opened, up to 300 ms before the order was written.

Change: connections of the pool are reset when they are closed during an exchange, also by the end of the process (zero linger from the start, regular close only when idle). Short exchanges set TCP_USER_TIMEOUT to their maximum wait, which bounds a stopped process too. The permit of an order is checked right before each write, on the open connection.

A margin before the end of authority alone would have to be as long as the kernel retransmits.

--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -17,6 +17,7 @@
 use wagtailledge_frontend::CallerReply;
 use wagtailledge_upstreams::OrderRequest;
 use wagtailledge_upstreams::OrderTarget;
+use wagtailledge_upstreams::WritePermit;
 
 use crate::calls::PendingStream;
 use crate::dispatch::DispatchPlan;
@@ -119,15 +120,15 @@
         };
         let shell = Rc::clone(self);
         let (token, valid_until) = (order.token, order.valid_until);
-        let may_write = Box::new(move || {
+        let permit = WritePermit::new(Box::new(move || {
             let now = shell.now();
             now < valid_until && shell.read(|reducer| reducer.may_send_order(now, token))
-        });
+        }));
         let upstream = target.upstream.clone();
         let request = OrderRequest { token, expected: order.expected, order: order.kind };
         let described = describe_order(&request.order);
         let dispatched = self.now();
-        let reply = self.parts.orders.send(target, request, may_write);
+        let reply = self.parts.orders.send(target, request, permit);
         let shell = Rc::clone(self);
         actix_rt::spawn(async move {
             let reply = reply.await;
--- a/components/entry/tests/departures.rs
+++ b/components/entry/tests/departures.rs
@@ -44,6 +44,7 @@
 use wagtailledge_upstreams::OrderTarget;
 use wagtailledge_upstreams::UpstreamCall;
 use wagtailledge_upstreams::UpstreamCaller;
+use wagtailledge_upstreams::WritePermit;
 
 /// Longest wait for a condition; tests normally need far less.
 const MAX_WAIT: Duration = Duration::from_secs(20);
@@ -91,7 +92,7 @@
         &self,
         _: OrderTarget,
         _: OrderRequest,
-        _: Box<dyn Fn() -> bool>,
+        _: WritePermit,
     ) -> LocalBoxFuture<'static, OrderReply> {
         ready(OrderOutcome::NotSent.into()).boxed_local()
     }
--- a/components/upstreams/src/json.rs
+++ b/components/upstreams/src/json.rs
@@ -18,6 +18,8 @@
 use crate::dialect::keep_alive_time;
 use crate::pool::ConnectionPool;
 use crate::pool::ExchangeFault;
+use crate::stream::WritePermit;
+use crate::stream::WriteTerms;
 
 /// Maximum size of the body of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -37,12 +39,14 @@
     pub headers: Vec<(&'static str, String)>,
     /// Body, empty or JSON.
     pub body: Bytes,
+    /// Checked right before the request is written; `None` always permits it.
+    pub permit: Option<WritePermit>,
 }
 
 impl ShortRequest {
     /// Creates a request without a body.
     pub fn new(address: SocketAddr, method: Method, path: String) -> Self {
-        Self { address, method, path, headers: Vec::new(), body: Bytes::new() }
+        Self { address, method, path, headers: Vec::new(), body: Bytes::new(), permit: None }
     }
 
     /// Sets the body, which must be JSON.
@@ -51,6 +55,12 @@
         Self { body: body.into(), ..self }
     }
 
+    /// Sets the condition under which the request may be written.
+    #[must_use]
+    pub fn with_permit(self, permit: WritePermit) -> Self {
+        Self { permit: Some(permit), ..self }
+    }
+
     fn build(self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let mut request = Request::builder()
             .method(self.method)
@@ -78,7 +88,8 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request and reads the whole answer, both within `max_wait`.
+    /// Sends a request and reads the whole answer, both within `max_wait`. Bytes of the request that
+    /// have not left this host by then are dropped.
     ///
     /// # Errors
     /// The error says whether any byte of the request may have been written.
@@ -88,10 +99,11 @@
         max_wait: Duration,
     ) -> Result<ShortAnswer, ExchangeFault> {
         let address = request.address;
+        let terms = WriteTerms { permit: request.permit.clone(), ack_timeout: Some(max_wait) };
         let request = request.build().map_err(|error| ExchangeFault::NotSent(error.to_string()))?;
         let lost = |problem: &str| ExchangeFault::Lost(format!("{address}: {problem}"));
         let exchange = async {
-            let answer = self.send(address, request, ANY_IDLE_TIME).await?;
+            let answer = self.send_on_terms(address, request, ANY_IDLE_TIME, terms).await?;
             let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|error| lost(&error.to_string()))?.to_bytes();
             answer.connection.release(keep_alive_time(&answer.head));
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -13,6 +13,7 @@
 mod openai;
 mod order;
 mod pool;
+mod stream;
 
 pub use call::AnswerHead;
 pub use call::CallEvent;
@@ -41,3 +42,4 @@
 pub use pool::ConnectionPool;
 pub use pool::ExchangeFault;
 pub use pool::OpenAnswer;
+pub use stream::WritePermit;
--- a/components/upstreams/src/openai.rs
+++ b/components/upstreams/src/openai.rs
@@ -30,6 +30,7 @@
 use crate::order::OrderTarget;
 use crate::pool::ConnectionPool;
 use crate::pool::ExchangeFault;
+use crate::stream::WritePermit;
 
 /// Maximum wait for the answer to an order or for a load report.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -128,21 +129,17 @@
         &self,
         target: OrderTarget,
         request: OrderRequest,
-        may_write: Box<dyn Fn() -> bool>,
+        permit: WritePermit,
     ) -> LocalBoxFuture<'static, OrderReply> {
         let pool = self.pool.clone();
         let address = target.address;
         async move {
-            // The load request leaves an open connection in the pool, so that nothing delays the
-            // order between the call of `may_write` and the write.
-            if OpenAiDialect.load(pool.clone(), address).await.is_none() || !may_write() {
-                return OrderOutcome::NotSent;
-            }
             let Ok(body) = serde_json::to_vec(&request) else {
                 return OrderOutcome::NotSent;
             };
             let order = ShortRequest::new(address, Method::POST, "/orders".to_owned());
-            match pool.exchange(order.with_body(body), CONTROL_TIMEOUT).await {
+            let order = order.with_body(body).with_permit(permit);
+            match pool.exchange(order, CONTROL_TIMEOUT).await {
                 Ok(answer) => match serde_json::from_slice::<OrderAnswer>(&answer.body) {
                     Ok(answer) => answer.into(),
                     Err(_invalid) => OrderOutcome::Lost,
--- a/components/upstreams/src/order.rs
+++ b/components/upstreams/src/order.rs
@@ -12,6 +12,8 @@
 use wagtailledge_decisions::order::OrderOutcome;
 use wagtailledge_decisions::order::ResidentAsset;
 
+use crate::stream::WritePermit;
+
 /// Body of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderRequest {
@@ -89,12 +91,12 @@
 
 /// Client that sends orders to engines.
 pub trait OrderSender: fmt::Debug {
-    /// Sends an order. `may_write` is called right before the exchange that carries the order; if
-    /// it returns false, the order is not sent and the outcome is `NotSent`.
+    /// Sends an order. `permit` is checked right before the order is written on an open connection; if
+    /// it does not hold, the order is not sent and the outcome is `NotSent`.
     fn send(
         &self,
         target: OrderTarget,
         request: OrderRequest,
-        may_write: Box<dyn Fn() -> bool>,
+        permit: WritePermit,
     ) -> LocalBoxFuture<'static, OrderReply>;
 }
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::http::response;
@@ -22,8 +23,11 @@
 use log::debug;
 use tokio::task::AbortHandle;
 
-/// Maximum time to open a connection. Must be shorter than the lease margin, because an order may
-/// wait for its connection after the lease was checked.
+use crate::stream::RevocableStream;
+use crate::stream::StreamControl;
+use crate::stream::WriteTerms;
+
+/// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Keep-alive time that is assumed for an upstream whose answer states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(15);
@@ -56,13 +60,24 @@
 
 type RequestSender = SendRequest<Full<Bytes>>;
 
-/// Open connection, closed when dropped.
+/// Open connection, closed when dropped. During an exchange it is reset, so that nothing of the
+/// request is sent any more.
 #[derive(Debug)]
 struct OpenConnection {
     sender: RequestSender,
+    control: Rc<StreamControl>,
     task: AbortHandle,
 }
 
+impl OpenConnection {
+    /// The fault of an exchange whose request could not be sent.
+    fn fault(&self, mut error: TrySendError<Request<Full<Bytes>>>) -> ExchangeFault {
+        let unsent = error.take_message().is_some() || self.control.was_refused();
+        let problem = error.into_error().to_string();
+        if unsent { ExchangeFault::NotSent(problem) } else { ExchangeFault::Lost(problem) }
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -85,8 +100,8 @@
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
-/// Connection on which an answer arrives. Dropping it closes the connection, so that the upstream
-/// can stop work on the request.
+/// Connection on which an answer arrives. Dropping it resets the connection, so that the upstream
+/// can stop work on the request, or never receives the rest of it.
 #[derive(Debug)]
 pub struct AnswerConnection {
     pool: ConnectionPool,
@@ -122,30 +137,38 @@
     /// # Errors
     /// The error says whether any byte of the request may have been written.
     pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        reuse_within: Duration,
+    ) -> Result<OpenAnswer, ExchangeFault> {
+        self.send_on_terms(address, request, reuse_within, WriteTerms::default()).await
+    }
+
+    /// Like [`Self::send`], with terms for writing the request.
+    pub(crate) async fn send_on_terms(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse_within: Duration,
+        terms: WriteTerms,
     ) -> Result<OpenAnswer, ExchangeFault> {
         while let Some(mut connection) = self.take(address, reuse_within) {
+            connection.control.begin_exchange(terms.clone());
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answer(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before any byte of the request was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(ExchangeFault::Lost(error.into_error().to_string())),
+                    None => return Err(connection.fault(error)),
                 },
             }
         }
         let mut connection = Self::connect(address).await.map_err(ExchangeFault::NotSent)?;
+        connection.control.begin_exchange(terms);
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.answer(address, connection, response)),
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                let problem = error.into_error().to_string();
-                let fault = if unsent { ExchangeFault::NotSent } else { ExchangeFault::Lost };
-                Err(fault(problem))
-            }
+            Err(error) => Err(connection.fault(error)),
         }
     }
 
@@ -173,6 +196,9 @@
         if let Err(error) = stream.set_nodelay(true) {
             debug!("TCP_NODELAY not set for {address}, requests may be delayed: {error}");
         }
+        let control = Rc::new(StreamControl::default());
+        let stream = RevocableStream::new(stream, Rc::clone(&control))
+            .map_err(|error| format!("connection to {address} cannot be made to reset: {error}"))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| format!("HTTP handshake with {address} failed: {error}"))?;
@@ -181,7 +207,7 @@
                 debug!("connection to {address} failed: {error}");
             }
         });
-        Ok(OpenConnection { sender, task: task.abort_handle() })
+        Ok(OpenConnection { sender, control, task: task.abort_handle() })
     }
 
     /// Removes the most recently used of the connections that have been idle for less than
@@ -202,6 +228,7 @@
         if connection.sender.is_closed() || max_idle.is_zero() {
             return;
         }
+        connection.control.end_exchange();
         let idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
