Let simulated hosts hold orders longer than they wait for answers

Now one world in four (by seed, so that other scripts stay as they are) also holds orders at their host beyond its wait, where the runtime drops them. A world whose hosts send such orders after all breaks the new check that no order overtakes one with a higher token at an engine that ignores tokens; the test with the runtime's behaviour passes.

--- a/components/fuzzer/src/oracle.rs
+++ b/components/fuzzer/src/oracle.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Reports that an order reached an engine that ignores fencing tokens after one with a higher
+    /// token.
+    pub fn report_overtaken_order(&mut self, engine: &str, token: u64, seen: u64) {
+        let detail = format!("{engine} got an order with token {token} after token {seen}");
+        self.report_violation("one orderer", &detail);
+    }
+
     /// Reports that an upstream got new work later than the grace period after it began to leave.
     pub fn report_work_while_leaving(&mut self, upstream: &str) {
         self.report_violation("leaving upstreams", &format!("{upstream} got new work"));
--- a/components/fuzzer/src/world/deliver.rs
+++ b/components/fuzzer/src/world/deliver.rs
@@ -18,6 +18,7 @@
 use super::event_queue::ScheduledEvent;
 use super::inventory::ZONES;
 use super::state::FuzzWorld;
+use super::state::HeldOrders;
 
 /// Time after which an unanswered call to the key-value service counts as failed, in
 /// microseconds.
@@ -25,10 +26,13 @@
 /// Time after which an unanswered order counts as lost, in microseconds.
 const ORDER_TIMEOUT: u64 = 2_000_000;
 /// Longest transit of an order to an engine that ignores fencing tokens, in microseconds. The
-/// timing rules allow 3 s, less the drift of clocks.
+/// timing rules allow 3 s, less the drift of clocks. Hosts drop what they have not sent when they
+/// give an order up, so the rest is time in the network.
 const MAX_ORDER_TRANSIT: u64 = 2_700_000;
 /// Longest transit of an order to an engine that checks fencing tokens, in microseconds.
 const MAX_CHECKED_ORDER_TRANSIT: u64 = 20_000_000;
+/// Longest time for which a host's kernel goes on sending what was not dropped, in microseconds.
+const MAX_HELD_TIME: u64 = 20_000_000;
 /// Time to load a model at full speed, in microseconds.
 const LOAD_TIME: u64 = 800_000;
 
@@ -182,6 +186,11 @@
             ScheduledEvent::StoreCall(id, call) => self.execute_store_call(id, call),
             ScheduledEvent::OrderArrival(id, key, engine, token, kind) => {
                 let load_time = LOAD_TIME * self.faults.load_factor;
+                let seen = self.engines[engine].highest_token();
+                if !self.engines[engine].checks_tokens && token < seen {
+                    let name = self.engines[engine].name.clone();
+                    self.oracle.report_overtaken_order(&name, token, seen);
+                }
                 let outcome = self.engines[engine].apply_order(self.now, token, &kind, load_time);
                 if self.trace {
                     let name = &self.engines[engine].name;
@@ -238,13 +247,22 @@
             (true, true) => MAX_CHECKED_ORDER_TRANSIT,
             (true, false) => MAX_ORDER_TRANSIT,
         };
-        let delay = self.rng.random_range(500..longest);
+        let lost = ScheduledEvent::OrderAnswer(id, order.key, OrderOutcome::Lost);
+        self.schedule_after(ORDER_TIMEOUT, lost);
+        let HeldOrders { permille, sent_after_all } = self.faults.held_orders;
+        let held = permille > 0 && self.chance(permille);
+        if held && !sent_after_all {
+            return;
+        }
+        let delay = if held {
+            self.rng.random_range(ORDER_TIMEOUT..MAX_HELD_TIME)
+        } else {
+            self.rng.random_range(500..longest)
+        };
         self.schedule_after(
             delay,
             ScheduledEvent::OrderArrival(id, order.key, engine, order.token, order.kind),
         );
-        let lost = ScheduledEvent::OrderAnswer(id, order.key, OrderOutcome::Lost);
-        self.schedule_after(ORDER_TIMEOUT, lost);
     }
 
     fn can_reach_host(&self, from: &HostIdentity, slot: usize) -> bool {
--- a/components/fuzzer/src/world/engines.rs
+++ b/components/fuzzer/src/world/engines.rs
@@ -85,6 +85,11 @@
         self.accepted_loads.get(asset).copied().unwrap_or(0)
     }
 
+    /// Highest fencing token that reached the engine since its start.
+    pub fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
     /// Restarts the engine without assets and without its highest token.
     pub fn restart(&mut self) {
         self.resident.clear();
--- a/components/fuzzer/src/world/scenario.rs
+++ b/components/fuzzer/src/world/scenario.rs
@@ -4,6 +4,7 @@
 
 use super::inventory::ZONES;
 use super::state::FuzzWorld;
+use super::state::HeldOrders;
 
 impl FuzzWorld {
     /// Number of slots, with and without a process.
@@ -127,6 +128,13 @@
     /// Makes orders take milliseconds from now on; none stays in transit for seconds.
     pub fn disable_late_orders(&mut self) {
         self.faults.late_orders = 0;
+        self.faults.held_orders = HeldOrders::default();
+    }
+
+    /// Sets the probability that an order stays unsent for longer than its host waits for an answer,
+    /// per thousand, and whether hosts send what they have given up.
+    pub fn hold_orders(&mut self, permille: u32, sent_after_all: bool) {
+        self.faults.held_orders = HeldOrders { permille, sent_after_all };
     }
 
     /// Number of load orders for an asset that engines accepted.
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -53,6 +53,8 @@
     pub loss: u32,
     /// Probability that an order stays in transit for seconds, per thousand; `loss` is added to it.
     pub late_orders: u32,
+    /// Orders that stay unsent at their host for longer than the host waits for an answer.
+    pub held_orders: HeldOrders,
     /// Probability that a message is delivered twice, per thousand.
     pub duplication: u32,
     /// Longest extra delay of a message, in microseconds.
@@ -63,8 +65,20 @@
     pub upstreams_failing: bool,
 }
 
+/// Orders that the kernel of their host cannot send for seconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HeldOrders {
+    /// Probability of an order, per thousand.
+    pub permille: u32,
+    /// Whether hosts send what they have given up, as they would by closing their connections
+    /// without a reset.
+    pub sent_after_all: bool,
+}
+
 /// Default probability that an order stays in transit for seconds, per thousand.
 const LATE_ORDERS: u32 = 100;
+/// Probability that an order is held, per thousand, in the worlds of one seed in four.
+const HELD_ORDERS: u32 = 50;
 
 /// The simulated deployment and its virtual clock.
 #[derive(Debug)]
@@ -131,6 +145,10 @@
             faults: FaultState {
                 load_factor: 1,
                 late_orders: LATE_ORDERS,
+                held_orders: HeldOrders {
+                    permille: if seed % 4 == 3 { HELD_ORDERS } else { 0 },
+                    sent_after_all: false,
+                },
                 ..FaultState::default()
             },
             events: BTreeMap::new(),
--- a/components/fuzzer/tests/scenarios.rs
+++ b/components/fuzzer/tests/scenarios.rs
@@ -206,3 +206,40 @@
     assert_no_violation(&world);
     assert!(world.active_revisions().iter().all(|revision| *revision == world.accepted_revision()));
 }
+
+/// Hosts of one zone whose orders are sometimes held while leaders freeze and die. Returns the
+/// violations of `SEEDS`.
+fn violations_with_held_orders(sends_given_up: bool) -> Vec<String> {
+    let mut violations = Vec::new();
+    for seed in SEEDS {
+        let mut world = FuzzWorld::with_hosts(seed, TimingRules::default(), [4, 0, 0, 0]);
+        world.disable_late_orders();
+        world.hold_orders(200, sends_given_up);
+        world.advance(20 * SECOND);
+        for round in 0..40_usize {
+            for slot in world.running_slots() {
+                let _ = world.request_model(slot, (round + slot) % 4, DEADLINE);
+            }
+            world.advance(2 * SECOND);
+            match (round % 8, world.leader_slot(0)) {
+                (3, Some(leader)) => world.freeze_for(leader, 12 * SECOND),
+                (7, Some(leader)) => world.kill_process(leader),
+                _ => {}
+            }
+            world.start_missing();
+        }
+        violations.extend(world.oracle.violation().map(str::to_owned));
+    }
+    violations
+}
+
+#[test]
+fn can_order_alone_while_orders_stay_unsent_for_seconds() {
+    assert_eq!(violations_with_held_orders(false), Vec::<String>::new());
+}
+
+#[test]
+fn can_detect_orders_that_are_sent_after_they_were_given_up() {
+    let violations = violations_with_held_orders(true);
+    assert!(violations.iter().any(|text| text.starts_with("one orderer")), "{violations:?}");
+}
