Count the time for which a machine was suspended in the reducer's clock

A suspended machine's monotonic clock stands still, so a leader that wakes up would believe in a lease that ended while it was suspended, and the reducer would not notice the freeze. The reducer's clock now reads CLOCK_BOOTTIME. Timers of the runtime stay on the monotonic clock; they only decide when a tick comes.

--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::HostIdentity;
 use wagtailledge_decisions::HostReducer;
@@ -61,7 +63,15 @@
     event_queue: RefCell<VecDeque<HostEvent>>,
     /// Set while a call of [`Self::submit`] further up the stack is processing the event queue.
     is_reducing: Cell<bool>,
-    started: Instant,
+    /// Time since the boot of the machine when this process started.
+    started: Duration,
+}
+
+/// Time since the boot of the machine, including the time for which it was suspended. The monotonic
+/// clock leaves that out, so that a lease would seem to last longer on a suspended machine.
+fn time_since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
 impl EntryShell {
@@ -72,7 +82,7 @@
         timing: TimingRules,
         seed: u64,
     ) -> Rc<Self> {
-        let started = Instant::now();
+        let started = time_since_boot();
         let now = Moment(CLOCK_OFFSET.as_micros() as u64);
         let reducer = HostReducer::new(now, identity.clone(), timing, seed);
         Rc::new(Self {
@@ -94,7 +104,7 @@
 
     /// Current time on the reducer's clock.
     pub fn now(&self) -> Moment {
-        Moment((CLOCK_OFFSET + self.started.elapsed()).as_micros() as u64)
+        Moment((CLOCK_OFFSET + time_since_boot().saturating_sub(self.started)).as_micros() as u64)
     }
 
     /// Passes an event to the reducer and executes the effects. Events submitted meanwhile are
