Let followers ask the store for changes as seldom as its bounds allow

A host that hears from its leader asked every 1.4 s, whatever the deployment asks for, though the leader's notices bring changes sooner.

Change: the interval is 0.7 of the shortest time within which a change must take effect, from the settings; 1.4 s as before where that is 2 s, 2.8 s on the large site. It is checked while a host waits, so one whose leader falls silent asks within 0.2 s instead of at the end of the interval.

Tests: four hosts over sockets beside a busy store, and a follower that learns a new route within 2.1 s of its leader's death though its bound is 60 s.

--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -83,6 +83,10 @@
     /// Whether engines that register themselves reject orders with an outdated fencing token.
     #[serde(default)]
     pub checks_tokens: bool,
+    /// Times within which changes in the store must take effect at this host, one for each kind of
+    /// change. The shortest decides how often the host asks for changes.
+    #[serde(default = "default_change_bounds")]
+    pub change_bounds: Vec<TimeSpan>,
 }
 
 /// `[security]`: authentication of messages between hosts and from operators.
@@ -197,6 +201,13 @@
     pub timing: TimingSection,
 }
 
+impl PlatformSection {
+    /// Time within which every change in the store must take effect at this host.
+    pub fn change_bound(&self) -> Duration {
+        self.change_bounds.iter().map(|bound| bound.0).min().unwrap_or_default()
+    }
+}
+
 impl HostSettings {
     /// Names of the sections that differ from `other` and take effect only at the next start.
     pub fn sections_needing_restart(&self, other: &Self) -> Vec<&'static str> {
@@ -248,6 +259,10 @@
     TimeSpan(Duration::from_secs(1))
 }
 
+fn default_change_bounds() -> Vec<TimeSpan> {
+    vec![TimeSpan(Duration::from_secs(2))]
+}
+
 fn default_platform_timeout() -> TimeSpan {
     TimeSpan(Duration::from_secs(1))
 }
@@ -321,6 +336,10 @@
         let problem = "is missing: protocol \"store\" needs an IP address with a port";
         require(settings.platform.address.is_some(), "[platform] address", problem);
         require(settings.listen.readiness.is_some(), "[listen] readiness", problem);
+        let bounds = &settings.platform.change_bounds;
+        let are_bounds = !bounds.is_empty() && bounds.iter().all(|bound| !bound.0.is_zero());
+        let problem = "must name at least one time, each longer than zero";
+        require(are_bounds, "[platform] change_bounds", problem);
     } else {
         for (item, url) in [
             ("[platform] key_value", &settings.platform.key_value),
--- a/components/settings/tests/faults.rs
+++ b/components/settings/tests/faults.rs
@@ -53,3 +53,19 @@
     let settings = parse_settings("good.toml", GOOD).unwrap();
     assert!(!format!("{settings:?}").contains("0123456789abcdef"));
 }
+
+#[test]
+fn can_name_missing_and_empty_bounds_of_changes() {
+    let store = GOOD
+        .replace("callers", "readiness = \"127.0.0.1:8081\"\ncallers")
+        .replace("[platform]", "[platform]\nprotocol = \"store\"\naddress = \"127.0.0.1:9000\"");
+    let with = |bounds: &str| {
+        let text = store.replace("[platform]", &format!("[platform]\nchange_bounds = {bounds}"));
+        parse_settings("store.toml", &text)
+    };
+    assert_eq!(with("[\"4s\", \"3s\"]").unwrap().platform.change_bound().as_secs(), 3);
+    for bounds in ["[]", "[\"2s\", \"0s\"]"] {
+        let faults = with(bounds).unwrap_err();
+        assert!(faults.iter().any(|fault| fault.item == "[platform] change_bounds"), "{faults:?}");
+    }
+}
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -154,8 +154,20 @@
     /// # Panics
     /// When the host does not start.
     pub fn add_host(&mut self, name: &str) {
-        let text = self.settings_text(name);
-        let settings = parse_settings("fleet stack", &text).expect("the settings are valid");
+        self.add_host_with(&self.settings_text(name));
+    }
+
+    /// Starts another entry host at which changes in the store must take effect within `bound` seconds.
+    ///
+    /// # Panics
+    /// When the host does not start.
+    pub fn add_host_bound_by(&mut self, name: &str, bound: u32) {
+        let bounds = format!("[platform]\nchange_bounds = [\"{bound}s\"]");
+        self.add_host_with(&self.settings_text(name).replace("[platform]", &bounds));
+    }
+
+    fn add_host_with(&mut self, text: &str) {
+        let settings = parse_settings("fleet stack", text).expect("the settings are valid");
         self.hosts.push(HostThread::start_with(settings, |settings| {
             wagtailledge_platform::adapters(settings).expect("the settings name a store")
         }));
--- a/components/standins/src/fleet/store.rs
+++ b/components/standins/src/fleet/store.rs
@@ -52,6 +52,7 @@
     silent: bool,
     refusing: bool,
     calls: u64,
+    watches: u64,
 }
 
 /// The store, which can simulate faults.
@@ -91,6 +92,11 @@
         self.lock().calls
     }
 
+    /// Number of watch calls received so far.
+    pub fn watches(&self) -> u64 {
+        self.lock().watches
+    }
+
     /// Keys that start with `prefix`, sorted, without those of expired leases.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let mut state = self.lock();
@@ -117,7 +123,11 @@
         let after: u64 = request.query_parameter("after").parse().unwrap_or(0);
         let wait: u64 = request.query_parameter("waitMs").parse().unwrap_or(0);
         let deadline = Instant::now() + Duration::from_millis(wait);
-        let silent_periods = self.lock().silent_periods;
+        let silent_periods = {
+            let mut state = self.lock();
+            state.watches += 1;
+            state.silent_periods
+        };
         loop {
             {
                 let mut state = self.lock();
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -811,3 +811,71 @@
         assert!(paused_at.elapsed() >= Duration::from_millis(1_500));
     });
 }
+
+/// Time over which the calls to the store are counted.
+const COUNTED_TIME: Duration = Duration::from_secs(6);
+
+/// Changes an entry of the store all the time, and returns the number of watch calls meanwhile.
+async fn watches_of_busy_store(stack: &FleetStack) -> u64 {
+    let (started, before) = (Instant::now(), stack.store.watches());
+    while started.elapsed() < COUNTED_TIME {
+        stack.store.put("servers/other", started.elapsed().as_millis().to_string().as_bytes());
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    stack.store.watches() - before
+}
+
+#[test]
+fn can_ask_the_store_less_often_than_its_entries_change() {
+    run(async {
+        let mut stack = ready_stack_of(FleetSpec { hosts: 1, ..SPEC }).await;
+        let of_leader = watches_of_busy_store(&stack).await;
+        for number in 1..=3 {
+            stack.add_host_bound_by(&format!("east-{number}"), 20);
+        }
+        for host in 1..=3 {
+            let served = stack
+                .wait_until(WAIT_LIMIT, async |stack| {
+                    ask(stack, host, "m0", "w").await.status == 200
+                })
+                .await;
+            assert!(served, "host {host} is not ready");
+        }
+        // Lets the intervals that began before the leader was known end.
+        actix_rt::time::sleep(ENTRY_LAPSE).await;
+        let of_all = watches_of_busy_store(&stack).await;
+        // 0.3 calls a second for each of the three followers, and one call of the leader more or less.
+        assert!(of_all <= of_leader + 5 + 1, "{of_all} watches, {of_leader} of the leader alone");
+    });
+}
+
+#[test]
+fn can_learn_of_changes_soon_after_the_leader_falls_silent() {
+    run(async {
+        let mut stack = ready_stack_of(FleetSpec { hosts: 1, ..SPEC }).await;
+        stack.add_host_bound_by("east-1", 60);
+        let served = stack
+            .wait_until(WAIT_LIMIT, async |stack| ask(stack, 1, "m0", "w").await.status == 200)
+            .await;
+        assert!(served, "the follower is not ready");
+        actix_rt::time::sleep(ENTRY_LAPSE).await;
+        stack.hosts.remove(0);
+        let stopped = Instant::now();
+        let route = json!([{
+            "name": "late", "host": "farm.example", "prefix": "/late/", "routeKind": "idempotent",
+            "timeoutMs": 5000, "targetLatencyMs": 500, "priority": 1, "service": "app",
+            "attempts": 2, "resumable": false
+        }]);
+        stack.configure(2, route);
+        let address = stack.hosts[0].caller_address;
+        let learned = stack
+            .wait_until(WAIT_LIMIT, async |_| {
+                send(address, "GET", "/late/1", "late", "").await.status == 200
+            })
+            .await;
+        assert!(learned, "the host does not know the new route");
+        // The peer timeout, the interval without a leader, and half a second for the calls.
+        let limit = Duration::from_millis(1_000 + 600 + 500);
+        assert!(stopped.elapsed() <= limit, "learned after {:?}", stopped.elapsed());
+    });
+}
