Name the leader's lease in its notices, so that a takeover starts from them

A candidate may take over once it has seen the same version of the lease for its time to live. It saw versions only when it asked the store, so the wait began up to an interval after the leader's last renewal. A leader's notices now carry the record with its version, as last stored; a host that hears one knows that the version existed by then. Nothing else about the takeover changes: a stored renewal that the notice did not name is a newer version, and starts the wait anew.

Test: a host that reads the record first after its leader is silent took over over 2 s later than one to which the leader had named it.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -275,6 +275,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         hosts: 0,
+        lease: None,
     };
     follower.receive(identity(0, 0), PeerMessage::Leader(notice.clone()));
     follower.run(Duration::from_secs(2));
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -13,6 +13,7 @@
 use crate::message::LeaderNotice;
 use crate::message::PeerMessage;
 use crate::message::ProcessRow;
+use crate::message::StoredLease;
 use crate::message::TableUpdate;
 use crate::request::RequestTarget;
 use crate::routing::TableRange;
@@ -133,6 +134,7 @@
             declined: declined.collect(),
             limits: self.limit_table(now, limit_ack),
             hosts: self.host_count().unwrap_or(0) as u32,
+            lease: self.lease.stored(),
         }
     }
 
@@ -209,6 +211,11 @@
         self.declined = self.assets_named(&notice.declined);
         self.leader_successors = notice.successors;
         self.leader_host_count = (notice.hosts > 0).then_some(notice.hosts as usize);
+        if let Some(StoredLease { version, record }) = notice.lease {
+            self.with_lease(now, effects, |lease, context| {
+                lease.apply_announced(context, version, Some(record));
+            });
+        }
         self.apply_registry_update(now, &notice.registry, effects);
         let scope = from.scope.clone();
         self.apply_update(now, &scope, TableRange::AllScopes, &notice.update, effects);
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -25,6 +25,7 @@
 use crate::event::ListedHost;
 use crate::identity::HostIdentity;
 use crate::lease::LeaseContext;
+use crate::lease::LeaseRecord;
 use crate::lease::LeaseState;
 use crate::membership::MemberDirectory;
 use crate::message::PeerEnvelope;
@@ -253,7 +254,7 @@
             }
             HostEvent::Lease(version, value) => {
                 self.with_lease(now, effects, |lease, context| {
-                    lease.apply_announced(context, version, &value);
+                    lease.apply_announced(context, version, LeaseRecord::parse(&value));
                 });
             }
             HostEvent::Members(hosts) => self.members.apply_members(&hosts),
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -9,6 +9,7 @@
 use crate::identity::HostIdentity;
 use crate::membership::MemberDirectory;
 use crate::message::PeerMessage;
+use crate::message::StoredLease;
 use crate::registry::CallPurpose;
 use crate::registry::LeaseCall;
 use crate::registry::PendingCalls;
@@ -358,13 +359,25 @@
         }
     }
 
-    /// Applies a record that the key-value service announced without a read. If the leader later
-    /// becomes unreachable, a candidate measures the lease time from this announcement, not from
-    /// its first read.
-    pub fn apply_announced(&mut self, context: &mut LeaseContext<'_>, version: u64, value: &str) {
+    /// The record of the lease that this process holds as last known to be stored, with its version.
+    /// Its authority may have expired.
+    pub fn stored(&self) -> Option<StoredLease> {
+        let held = self.held.as_ref()?;
+        Some(StoredLease { version: held.version, record: held.record.clone() })
+    }
+
+    /// Applies a record that the key-value service or its holder announced without a read. If the
+    /// leader later becomes unreachable, a candidate measures the lease time from this announcement,
+    /// not from its first read.
+    pub fn apply_announced(
+        &mut self,
+        context: &mut LeaseContext<'_>,
+        version: u64,
+        record: Option<LeaseRecord>,
+    ) {
         let known = self.observed.as_ref().map_or(0, |observed| observed.version);
         if self.held.is_none() && self.pending_takeover.is_none() && version > known {
-            self.observe(context, version, LeaseRecord::parse(value));
+            self.observe(context, version, record);
         }
     }
 
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -9,6 +9,7 @@
 use crate::configuration::ConfigurationChange;
 use crate::discovery::RegistryUpdate;
 use crate::identity::HostIdentity;
+use crate::lease::LeaseRecord;
 use crate::ledger::LedgerClaim;
 use crate::ledger::LedgerVerdict;
 use crate::limits::LimitPhase;
@@ -256,6 +257,20 @@
     /// Number of entry hosts that the leader knows of, itself included; 0 if it has no host list.
     #[serde(rename = "n", default)]
     pub hosts: u32,
+    /// The leader's lease as last stored; `None` from hosts of earlier builds.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<StoredLease>,
+}
+
+/// Lease record with its version in the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredLease {
+    /// Version that the service gave the record.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// The record.
+    #[serde(rename = "r")]
+    pub record: LeaseRecord,
 }
 
 /// Report of a host to the leader of its scope. `demand` is always complete, never an increment.
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -458,6 +458,7 @@
         declined: Vec::new(),
         limits,
         hosts: 2,
+        lease: None,
     }
 }
 
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -13,6 +13,7 @@
 use wagtailledge_decisions::message::LeaderNotice;
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::StoredLease;
 use wagtailledge_decisions::message::TableUpdate;
 
 const INVENTORY: &str = r#"
@@ -76,8 +77,16 @@
     }
 }
 
-#[test]
-fn can_take_over_sooner_when_the_record_was_announced_before_the_leader_became_unreachable() {
+/// How a host learns of the lease record before the leader becomes unreachable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeaseSource {
+    Nobody,
+    KeyValueService,
+    Leader,
+}
+
+/// Time from the last message of a leader until this host takes over.
+fn takeover_time(source: LeaseSource) -> Duration {
     let record = LeaseRecord {
         holder: support::identity("east-2"),
         epoch: 1,
@@ -85,44 +94,50 @@
         successors: Vec::new(),
         ended: false,
     };
-    let takeover_time = |announced: bool| {
-        let mut leader = TestLeader::before_election(INVENTORY, "llm");
-        leader.store_value("lease/east", &record.to_value());
-        let started = leader.host.now;
-        if announced {
-            leader.submit(HostEvent::Lease(1, record.to_value()));
-        }
-        // The leader sends one last message. This host does not read the record before the leader
-        // counts as unreachable.
-        leader.host.receive(PeerMessage::Leader(LeaderNotice {
-            epoch: 1,
-            successors: Vec::new(),
-            revision: 1,
-            update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
-            registry: RegistryUpdate::default(),
-            declined: Vec::new(),
-            limits: LimitTable::default(),
-            hosts: 0,
-        }));
-        while stored_lease(&leader).epoch == 1 {
-            leader.advance(10);
-            assert!(leader.host.now.since(started) < Duration::from_secs(20), "no host took over");
-        }
-        leader.host.now.since(started)
-    };
+    let mut leader = TestLeader::before_election(INVENTORY, "llm");
+    leader.store_value("lease/east", &record.to_value());
+    let started = leader.host.now;
+    if source == LeaseSource::KeyValueService {
+        leader.submit(HostEvent::Lease(1, record.to_value()));
+    }
+    // The leader sends one last message. This host does not read the record before the leader
+    // counts as unreachable.
+    let lease = StoredLease { version: 1, record };
+    leader.host.receive(PeerMessage::Leader(LeaderNotice {
+        epoch: 1,
+        successors: Vec::new(),
+        revision: 1,
+        update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
+        registry: RegistryUpdate::default(),
+        declined: Vec::new(),
+        limits: LimitTable::default(),
+        hosts: 0,
+        lease: (source == LeaseSource::Leader).then_some(lease),
+    }));
+    while stored_lease(&leader).epoch == 1 {
+        leader.advance(10);
+        assert!(leader.host.now.since(started) < Duration::from_secs(20), "no host took over");
+    }
+    leader.host.now.since(started)
+}
+
+#[test]
+fn can_take_over_sooner_when_the_record_was_announced_before_the_leader_became_unreachable() {
     let timing = TimingRules::default();
-    let announced = takeover_time(true);
-    assert!(
-        announced >= timing.lease_ttl + timing.lease_margin,
-        "the holder may still have authority"
-    );
-    let max_time = timing.lease_ttl + timing.lease_margin + Duration::from_secs(1);
-    assert!(announced <= max_time, "took over {announced:?} after the announced renewal");
-    let unannounced = takeover_time(false);
-    assert!(
-        unannounced >= announced + Duration::from_secs(2),
-        "{unannounced:?} unannounced, {announced:?} announced"
-    );
+    let unannounced = takeover_time(LeaseSource::Nobody);
+    for source in [LeaseSource::KeyValueService, LeaseSource::Leader] {
+        let announced = takeover_time(source);
+        assert!(
+            announced >= timing.lease_ttl + timing.lease_margin,
+            "{source:?}: the holder may still have authority"
+        );
+        let max_time = timing.lease_ttl + timing.lease_margin + Duration::from_secs(1);
+        assert!(announced <= max_time, "{source:?}: took over after {announced:?}");
+        assert!(
+            unannounced >= announced + Duration::from_secs(2),
+            "{source:?}: {unannounced:?} unannounced, {announced:?} announced"
+        );
+    }
 }
 
 #[test]
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -148,6 +148,7 @@
         declined: Vec::new(),
         limits,
         hosts: 0,
+        lease: None,
     }
 }
 
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -137,6 +137,7 @@
             declined: Vec::new(),
             limits: LimitTable::default(),
             hosts: 0,
+            lease: None,
         };
         host.receive(PeerMessage::Leader(notice));
         host.effects.clear();
