Repeat lost table changes without a storm

Hosts went on sending to replicas that had been unloaded ("not held there", 20 to 70 a second).

Cause: notices build on what was sent before. A host that misses one rejects all later ones and says so after 10 ms at the latest; the leader answers each with more changes, every 2 ms while entries change, that are rejected too. At 195 hosts the leader's half core was spent on that: 1,400 rejected notices a second, replicas 300 versions behind. It checked all hosts after every event, besides.

Change: while repeated changes are unconfirmed, nothing is sent on top of them, and the time until the next repeat doubles from 0.4 s to 3.2 s. An update may start before what the receiver has, and a late copy is no gap. Rejections are reported at the pace of other changes. A leader checks its hosts at most every 10 us for each of them.

--- a/components/decisions/src/discovery/directory.rs
+++ b/components/decisions/src/discovery/directory.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Builds an update without changes for a reader at `version` of this directory.
+    pub fn unchanged(&self, version: u64) -> RegistryUpdate {
+        RegistryUpdate { table: self.id, since: version, version, rows: Vec::new() }
+    }
+
     /// Records the version of another host's update and returns its changes, for [`Self::put`].
     /// Returns `None` if earlier changes are missing.
     pub fn apply(&mut self, update: &RegistryUpdate) -> Option<Vec<RegistryChange>> {
--- a/components/decisions/src/host/peer_leaders.rs
+++ b/components/decisions/src/host/peer_leaders.rs
@@ -137,7 +137,7 @@
             demand.iter().map(|row| (row.asset.clone(), row.waiting)).collect();
         let demand_changed = !waiting.keys().eq(peer_leader.sent_demand.keys());
         let version = self.view.version(TableRange::OwnScope);
-        let behind = demand_changed || sync.replicas.is_behind(self.view.id(), version);
+        let behind = demand_changed || sync.replicas.is_behind(now, self.view.id(), version);
         let silent = peer_leader.last_message.is_none_or(|at| at < self.silent_since(now));
         let heartbeat = self.timing.heartbeat / if silent { PROBES_PER_HEARTBEAT } else { 1 };
         let wants_due = now.since(sync.sent_at) >= WANT_INTERVAL && self.owes_limit_report(scope);
@@ -149,9 +149,13 @@
             return;
         }
         let sync = &mut peer_leader.sync;
-        let base = sync.replicas.base_version(self.view.id());
-        let update = self.view.update_for(&self.catalog, TableRange::OwnScope, base);
-        sync.replicas.record_sent(now, update.version);
+        let base = sync.replicas.next_base(now, self.view.id());
+        let update = if base.has_changes {
+            self.view.update_for(&self.catalog, TableRange::OwnScope, base.version)
+        } else {
+            self.view.unchanged(base.version)
+        };
+        sync.replicas.record_sent(now, version);
         sync.sent_at = now;
         sync.dirty = false;
         let limit_ack = sync.limit_ack;
--- a/components/decisions/src/host/peer_sync.rs
+++ b/components/decisions/src/host/peer_sync.rs
@@ -8,6 +8,9 @@
 
 /// Time after which a message without confirmation counts as lost.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Most doublings of [`DELIVERY_TIMEOUT`] while repeated changes are lost in a row. A host without
+/// processor time answers late, and repeating changes sooner would keep both sides busy.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// How far another host's copy of one of this process's tables is known to be up to date.
 #[derive(Debug, Clone, Copy, Default)]
@@ -18,27 +21,63 @@
     sent: Option<u64>,
     /// Since when sent changes are unconfirmed without progress; `None` if none are.
     unacked_since: Option<Moment>,
+    /// Repeats of lost changes since the last progress. While there are any, nothing is sent on top of
+    /// a repeat that is unconfirmed, because the other host would reject it if the repeat was lost.
+    repeats: u32,
+}
+
+/// What the next update to a host starts from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UpdateBase {
+    /// Version that the receiver has, or will have once earlier messages arrive.
+    pub version: u64,
+    /// Whether the update contains the changes since then; if not, it only names `version`.
+    pub has_changes: bool,
 }
 
 impl TableSync {
-    /// Whether the table has changes that were not sent to the other host.
-    pub fn is_behind(&self, table: u64, version: u64) -> bool {
-        match self.sent {
-            Some(sent) => sent != version,
+    /// Whether the table has changes that may be sent to the other host now.
+    pub fn is_behind(&self, now: Moment, table: u64, version: u64) -> bool {
+        let has_unsent = match self.sent {
+            Some(sent) => sent != version || self.is_repeat_lost(now),
             None => self.ack.table != table || self.ack.version != version,
-        }
+        };
+        has_unsent && !self.awaits_repeat(now)
+    }
+
+    /// Whether a repeat is unconfirmed and may still be confirmed.
+    fn awaits_repeat(&self, now: Moment) -> bool {
+        self.repeats > 0 && self.unacked_since.is_some() && !self.is_repeat_lost(now)
     }
 
-    /// Version that the next update starts from: the sent one, as messages are rarely lost, else
-    /// the confirmed one.
-    pub fn base_version(&self, table: u64) -> u64 {
+    fn is_repeat_lost(&self, now: Moment) -> bool {
+        let doublings = self.repeats.saturating_sub(1).min(MAX_DOUBLINGS);
+        let timeout = DELIVERY_TIMEOUT * 2u32.pow(doublings);
+        self.repeats > 0 && self.unacked_since.is_some_and(|since| now.since(since) >= timeout)
+    }
+
+    /// What the next update starts from: the sent version, as messages are rarely lost, else the
+    /// confirmed one.
+    pub fn next_base(&self, now: Moment, table: u64) -> UpdateBase {
         let confirmed = if self.ack.table == table { self.ack.version } else { 0 };
-        self.sent.unwrap_or(confirmed)
+        let sent = self.sent.filter(|_| !self.is_repeat_lost(now));
+        if self.awaits_repeat(now) && confirmed > 0 {
+            return UpdateBase { version: confirmed, has_changes: false };
+        }
+        let has_changes = !self.awaits_repeat(now);
+        UpdateBase { version: sent.unwrap_or(confirmed), has_changes }
     }
 
-    /// Records that all changes up to `version` were sent.
+    /// Records that an update from [`Self::next_base`] to `version` was sent.
     pub fn record_sent(&mut self, now: Moment, version: u64) {
-        if self.sent != Some(version) {
+        if self.awaits_repeat(now) {
+            return;
+        }
+        let is_repeat = self.is_repeat_lost(now) || (self.repeats > 0 && self.sent.is_none());
+        if is_repeat {
+            self.unacked_since = Some(now);
+            self.repeats += u32::from(self.sent.is_some());
+        } else if self.sent != Some(version) {
             self.unacked_since.get_or_insert(now);
         }
         self.sent = Some(version);
@@ -52,11 +91,16 @@
         self.ack = ack;
         if ack.table == table && self.sent == Some(ack.version) {
             self.unacked_since = None;
+            self.repeats = 0;
         } else if advanced {
             self.unacked_since = Some(now);
-        } else if self.unacked_since.is_none_or(|since| now.since(since) >= DELIVERY_TIMEOUT) {
+            self.repeats = 0;
+        } else if self.repeats == 0
+            && self.unacked_since.is_none_or(|since| now.since(since) >= DELIVERY_TIMEOUT)
+        {
             self.sent = None;
             self.unacked_since = None;
+            self.repeats = 1;
         }
     }
 }
@@ -76,6 +120,8 @@
     pub sent_at: Moment,
     /// Whether there is something to send besides table changes.
     pub dirty: bool,
+    /// Whether this host rejected an update, which its next message shows by what it confirms.
+    pub has_gap: bool,
     /// Number of its latest report about limits; 0 if there was none.
     pub limit_report: u64,
     /// The same if that report named limits, else 0.
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -130,7 +130,7 @@
             }
             Some(_) => {}
             // The sender learns of the gap from the acknowledgement in this host's next message.
-            None => self.leader_sync.dirty = true,
+            None => self.leader_sync.has_gap = true,
         }
     }
 
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -19,8 +19,10 @@
 use crate::routing::TableRange;
 use crate::routing::UpdateOutcome;
 use crate::time::Moment;
+use crate::timing::TimingRules;
 
 use super::peer_sync::PeerSync;
+use super::peer_sync::UpdateBase;
 use super::state::HostReducer;
 use super::state::LeaderContact;
 use super::usage::from_usage_rows;
@@ -30,6 +32,9 @@
 const IDLE_HEARTBEATS: u32 = 2;
 /// Interval at which a leader checks for due messages.
 const NOTICE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two checks for due messages, for each host of the scope. A check takes about
+/// a tenth of it.
+const SCAN_PAUSE_PER_HOST: Duration = Duration::from_micros(10);
 
 impl HostReducer {
     /// Sends due messages: as leader to the scope's hosts and to other scopes, else to the leader.
@@ -40,11 +45,13 @@
         }
         let version = self.view.version(TableRange::AllScopes);
         let pending = self.notices_due || version != self.notified_version;
-        if !pending && now < self.next_notice_check {
+        let earliest = if pending { self.next_notice_scan } else { self.next_notice_check };
+        if now < earliest {
             return;
         }
         self.notices_due = false;
         self.next_notice_check = now.after(NOTICE_CHECK_INTERVAL);
+        self.next_notice_scan = now.after(SCAN_PAUSE_PER_HOST * self.member_syncs.len() as u32);
         let changed = self.view.changed_since(self.notified_version);
         self.notified_version = version;
         self.send_leader_notices(now, changed.as_ref(), effects);
@@ -60,16 +67,17 @@
         changed: Option<&BTreeSet<AssetKey>>,
         effects: &mut Vec<HostEffect>,
     ) {
-        let members: Vec<HostIdentity> =
-            self.members.in_scope(&self.me.scope, &self.me.name).cloned().collect();
-        let names: BTreeSet<&str> = members.iter().map(|identity| identity.name.as_str()).collect();
-        self.member_syncs.retain(|name, _| names.contains(name.as_str()));
-        let version = self.view.version(TableRange::AllScopes);
+        let (table, version) = (self.view.id(), self.view.version(TableRange::AllScopes));
+        let directory = &self.registered_upstreams;
         // Hosts with the same base versions of both tables get the same message, unless they reported
         // limits.
-        let mut groups: BTreeMap<(u64, u64, u64), Vec<HostIdentity>> = BTreeMap::new();
-        for identity in members {
-            let mut sync = self.member_syncs.remove(&identity.name).unwrap_or_default();
+        let mut groups: BTreeMap<(UpdateBase, UpdateBase, u64), Vec<HostIdentity>> =
+            BTreeMap::new();
+        for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
+            let sync = match self.member_syncs.get_mut(&identity.name) {
+                Some(sync) => sync,
+                None => self.member_syncs.entry(identity.name.clone()).or_default(),
+            };
             let waits_for_change = |changed: &BTreeSet<AssetKey>| {
                 let placement = self.placement.as_ref();
                 placement.is_some_and(|placement| {
@@ -77,19 +85,20 @@
                 })
             };
             sync.dirty |= changed.is_none_or(waits_for_change);
-            if self.is_notice_due(now, &sync) {
-                let base = (
-                    sync.replicas.base_version(self.view.id()),
-                    sync.registry.base_version(self.registered_upstreams.id()),
-                    sync.limit_ack,
-                );
-                sync.replicas.record_sent(now, version);
-                sync.registry.record_sent(now, self.registered_upstreams.version());
-                sync.sent_at = now;
-                sync.dirty = false;
-                groups.entry(base).or_default().push(identity.clone());
+            let is_behind = sync.replicas.is_behind(now, table, version);
+            // All hosts must soon learn of upstreams that are shutting down or were removed.
+            let lacks_entries = sync.registry.is_behind(now, directory.id(), directory.version());
+            if !is_notice_due(now, &self.timing, sync, is_behind, lacks_entries) {
+                continue;
             }
-            self.member_syncs.insert(identity.name, sync);
+            let replicas = sync.replicas.next_base(now, table);
+            let registry = sync.registry.next_base(now, directory.id());
+            sync.replicas.record_sent(now, version);
+            sync.registry.record_sent(now, directory.version());
+            sync.sent_at = now;
+            sync.dirty = false;
+            let group = groups.entry((replicas, registry, sync.limit_ack)).or_default();
+            group.push(identity.clone());
         }
         for ((replicas, registry, limit_ack), receivers) in groups {
             let notice = self.build_leader_notice(now, replicas, registry, limit_ack);
@@ -98,20 +107,11 @@
         }
     }
 
-    /// Whether a message to a host of this scope is due.
-    fn is_notice_due(&self, now: Moment, sync: &PeerSync) -> bool {
-        let behind =
-            sync.replicas.is_behind(self.view.id(), self.view.version(TableRange::AllScopes));
-        // All hosts must soon learn of upstreams that are shutting down or were removed.
-        let urgent = sync.dirty
-            || sync
-                .registry
-                .is_behind(self.registered_upstreams.id(), self.registered_upstreams.version());
-        let waited = now.since(sync.sent_at);
-        sync.sent_at == Moment::default()
-            || waited >= self.timing.heartbeat
-            || (urgent && waited >= self.timing.notice_pause)
-            || (behind && waited >= self.timing.notice_idle)
+    /// Forgets what was sent to hosts that are no longer in the scope.
+    pub(super) fn forget_departed_hosts(&mut self) {
+        let members = self.members.in_scope(&self.me.scope, &self.me.name);
+        let names: BTreeSet<&str> = members.map(|identity| identity.name.as_str()).collect();
+        self.member_syncs.retain(|name, _| names.contains(name.as_str()));
     }
 
     /// Notice with all changes since these versions of the replica table and the registered
@@ -119,8 +119,8 @@
     fn build_leader_notice(
         &self,
         now: Moment,
-        replicas: u64,
-        registry: u64,
+        replicas: UpdateBase,
+        registry: UpdateBase,
         limit_ack: u64,
     ) -> LeaderNotice {
         let declined = self.declined.iter().filter_map(|asset| self.asset_name(*asset));
@@ -129,8 +129,16 @@
             epoch: self.placement.as_ref().map_or(0, |placement| placement.epoch),
             successors: self.lease.successors(),
             revision: self.catalog.revision,
-            update: self.view.update_for(&self.catalog, TableRange::AllScopes, replicas),
-            registry: self.registered_upstreams.update_since(registry),
+            update: if replicas.has_changes {
+                self.view.update_for(&self.catalog, TableRange::AllScopes, replicas.version)
+            } else {
+                self.view.unchanged(replicas.version)
+            },
+            registry: if registry.has_changes {
+                self.registered_upstreams.update_since(registry.version)
+            } else {
+                self.registered_upstreams.unchanged(registry.version)
+            },
             declined: declined.collect(),
             limits: self.limit_table(now, limit_ack),
             hosts: self.host_count().unwrap_or(0) as u32,
@@ -158,13 +166,17 @@
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         // The leader's heartbeat shows that it is alive, so idle hosts can send less often.
         let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
+        let gap_due = self.leader_sync.has_gap
+            && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         if !usage_due
+            && !gap_due
             && !limits_due
             && !self.leader_sync.is_due(now, pause, heartbeat * IDLE_HEARTBEATS, false)
         {
             return;
         }
         self.leader_sync.dirty = false;
+        self.leader_sync.has_gap = false;
         self.leader_sync.sent_at = now;
         let usage = std::mem::take(&mut self.unreported_usage);
         let suspects = std::mem::take(&mut self.suspects);
@@ -257,7 +269,7 @@
                 }
             }
             // The sender learns of the gap from the acknowledgement in this host's next message.
-            UpdateOutcome::Rejected => self.leader_sync.dirty = true,
+            UpdateOutcome::Rejected => self.leader_sync.has_gap = true,
         }
     }
 
@@ -322,3 +334,20 @@
         self.plan(now, effects);
     }
 }
+
+/// Whether a message to a host of the leader's scope is due. `is_behind` and `lacks_entries` are set
+/// if there are unsent changes of replicas and of registered upstreams.
+fn is_notice_due(
+    now: Moment,
+    timing: &TimingRules,
+    sync: &PeerSync,
+    is_behind: bool,
+    lacks_entries: bool,
+) -> bool {
+    let waited = now.since(sync.sent_at);
+    let is_urgent = sync.dirty || lacks_entries;
+    sync.sent_at == Moment::default()
+        || waited >= timing.heartbeat
+        || (is_urgent && waited >= timing.notice_pause)
+        || (is_behind && waited >= timing.notice_idle)
+}
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -137,6 +137,8 @@
     pub(super) notified_version: u64,
     /// When to check next for due messages to other hosts and scopes.
     pub(super) next_notice_check: Moment,
+    /// Earliest time of the next check for changes that are to be sent at once.
+    pub(super) next_notice_scan: Moment,
     /// When the latest event arrived.
     pub(super) last_event: Moment,
     /// When the process started, or received its first event after its latest freeze.
@@ -192,6 +194,7 @@
             notices_due: true,
             notified_version: 0,
             next_notice_check: now,
+            next_notice_scan: now,
             last_event: now,
             resumed_at: now,
             dispatch_not_before: now.after(HOST_LIST_WAIT_AT_START),
@@ -318,6 +321,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now.after(self.timing.peer_timeout);
             self.members.remove_unlisted_before(now.before(self.timing.peer_timeout * 8));
+            self.forget_departed_hosts();
             self.retry_demand_until.retain(|_, until| *until > now);
             self.replica_backoffs.sweep(now);
             self.forget_processes(now);
--- a/components/decisions/src/routing/view.rs
+++ b/components/decisions/src/routing/view.rs
@@ -207,6 +207,11 @@
         }
     }
 
+    /// Builds an update without changes for a reader at `version`.
+    pub fn unchanged(&self, version: u64) -> TableUpdate {
+        TableUpdate { table: self.id, since: version, version, rows: Vec::new() }
+    }
+
     /// Applies an update from the leader of `scope`, which covers the rows of `range`.
     pub fn apply(
         &mut self,
@@ -217,12 +222,12 @@
     ) -> UpdateOutcome {
         let applied = self.ack(scope);
         let same_table = applied.table == update.table;
-        if same_table && applied.version == update.version && update.rows.is_empty() {
+        // A repeat of changes that arrived after all.
+        if same_table && applied.version >= update.version {
             return UpdateOutcome::Applied(Vec::new());
         }
-        let follows = update.since == 0 || (same_table && applied.version == update.since);
-        let older = same_table && applied.version > update.version;
-        if !follows || older {
+        // An update that starts earlier contains all later changes as well.
+        if update.since != 0 && (!same_table || applied.version < update.since) {
             return UpdateOutcome::Rejected;
         }
         self.apply_rows(catalog, scope, range, update)
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -154,6 +154,12 @@
         self.answer_store_calls(usize::MAX);
     }
 
+    /// Forgets the effects so far, after a test has read and removed them.
+    pub fn forget_effects(&mut self) {
+        self.host.effects.clear();
+        self.processed = 0;
+    }
+
     /// Answers up to `count` new store calls and queues the orders before them.
     pub fn answer_store_calls(&mut self, count: usize) {
         let mut answered = 0;
