Tell a new leader the usage of the last seconds

Each host now keeps its own decaying usage, and its first report to another leader contains that instead of what it had not reported to the one before.

--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -54,6 +54,7 @@
         if let RequestTarget::Asset(asset) = request.target {
             let tokens = request.terms.as_ref().map_or(0, |terms| terms.prompt.input);
             self.unreported_usage.entry(asset).or_default().add(1, u64::from(tokens));
+            self.recent_usage.add(now, asset, 1, u64::from(tokens));
         }
         let rank = request.terms.as_ref().map_or(rank, |terms| terms.rank);
         let deadline = now.after(request.deadline.unwrap_or(default_deadline));
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -214,6 +214,7 @@
         let same_leader = self.leader.as_ref().is_some_and(|leader| leader.identity == from);
         if !same_leader {
             self.leader_sync = PeerSync { dirty: true, ..PeerSync::default() };
+            self.report_recent_usage(now);
         }
         if !same_leader || notice.epoch != known {
             self.limit_leader_replaced();
@@ -235,6 +236,15 @@
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
+    /// Reports the usage of the last seconds instead of that since the last report, as another leader
+    /// received the reports before. Without it, a new leader would evict busy models as unused.
+    pub(super) fn report_recent_usage(&mut self, now: Moment) {
+        self.unreported_usage.clear();
+        for (asset, requests, tokens) in self.recent_usage.recent(now) {
+            self.unreported_usage.entry(asset).or_default().add(requests, tokens);
+        }
+    }
+
     /// Clears the leader when it reports that it no longer holds the lease.
     pub(super) fn handle_lease_released(&mut self, from: &HostIdentity, epoch: u64) {
         self.leader.take_if(|leader| leader.identity == *from && leader.epoch == epoch);
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -32,6 +32,7 @@
 use crate::message::PeerMessage;
 use crate::placement::PlacementContext;
 use crate::placement::PlacementState;
+use crate::placement::UsageTable;
 use crate::registry::CallPurpose;
 use crate::registry::PendingCalls;
 use crate::request::RequestKey;
@@ -57,6 +58,8 @@
 const FREEZE_THRESHOLD: Duration = Duration::from_secs(1);
 /// Longest time that dispatches wait for a new host list after a freeze.
 const HOST_LIST_WAIT_AFTER_FREEZE: Duration = Duration::from_secs(2);
+/// Time for which this host's usage is kept for a new leader.
+const RECENT_USAGE_TIME: Duration = Duration::from_secs(30);
 /// Longest time that dispatches wait for the first host list after the start.
 const HOST_LIST_WAIT_AT_START: Duration = Duration::from_secs(3);
 
@@ -116,6 +119,8 @@
     pub(super) leader_sync: PeerSync,
     /// Usage since the last demand notice to the leader, or since the last plan if this host leads.
     pub(super) unreported_usage: UsageCounts,
+    /// Usage of the last seconds, for the first report to a new leader, which knows no usage yet.
+    pub(super) recent_usage: UsageTable,
     /// Upstreams that may have lost assets or failed, not reported to the leader yet.
     pub(super) suspects: BTreeSet<UpstreamKey>,
     /// Assets for which a request was refused because it could not be served in time, and until
@@ -182,6 +187,7 @@
             peer_leaders: BTreeMap::new(),
             leader_sync: PeerSync::default(),
             unreported_usage: UsageCounts::new(),
+            recent_usage: UsageTable::default(),
             suspects: BTreeSet::new(),
             retry_demand_until: BTreeMap::new(),
             declined: BTreeSet::new(),
@@ -322,6 +328,7 @@
             self.next_sweep = now.after(self.timing.peer_timeout);
             self.members.remove_unlisted_before(now.before(self.timing.peer_timeout * 8));
             self.forget_departed_hosts();
+            self.recent_usage.remove_requested_before(now.before(RECENT_USAGE_TIME));
             self.retry_demand_until.retain(|_, until| *until > now);
             self.replica_backoffs.sweep(now);
             self.forget_processes(now);
@@ -521,6 +528,7 @@
             self.view.start_leading(&self.catalog, &self.me.scope);
         }
         self.placement = held_epoch.map(|epoch| PlacementState::new(now, epoch));
+        self.report_recent_usage(now);
         self.limit_leadership_changed(now, held_epoch.is_some(), effects);
         if let Some(epoch) = held_epoch {
             let last_message = now;
--- a/components/decisions/src/placement/usage.rs
+++ b/components/decisions/src/placement/usage.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use slotmap::SecondaryMap;
+use slotmap::SparseSecondaryMap;
 use wagtailledge_inventory::AssetKey;
 
 use crate::time::Moment;
@@ -38,10 +38,11 @@
     }
 }
 
-/// Usage of every asset, as reported to this leader by the hosts of its scope and by other leaders.
+/// Usage of every asset: of one host, or as reported to a leader by the hosts of its scope and by
+/// other leaders.
 #[derive(Debug, Clone, Default)]
 pub struct UsageTable {
-    assets: SecondaryMap<AssetKey, DecayingUsage>,
+    assets: SparseSecondaryMap<AssetKey, DecayingUsage>,
 }
 
 impl UsageTable {
@@ -57,6 +58,17 @@
         self.assets.insert(asset, new);
     }
 
+    /// Requests for each asset and their prompt tokens, weighted by age. Recording them in another
+    /// table at `now` gives the same averages there.
+    pub fn recent(&self, now: Moment) -> impl Iterator<Item = (AssetKey, u32, u64)> + '_ {
+        let rounded = move |(asset, usage): (AssetKey, &DecayingUsage)| {
+            let usage = usage.decayed(now);
+            let requests = usage.requests.round() as u32;
+            (requests > 0).then_some((asset, requests, usage.tokens.round() as u64))
+        };
+        self.assets.iter().filter_map(rounded)
+    }
+
     /// Average requests a second for `asset`.
     pub fn rate(&self, now: Moment, asset: AssetKey) -> f64 {
         let usage = self.assets.get(asset).map_or(0.0, |usage| usage.decayed(now).requests);
@@ -74,11 +86,16 @@
         self.assets.get(asset).map(|usage| usage.last_requested)
     }
 
-    /// Assets that have been requested since this leader's term began.
+    /// Assets in the table.
     pub fn assets(&self) -> impl Iterator<Item = AssetKey> + '_ {
         self.assets.keys()
     }
 
+    /// Removes the assets that were not requested since `oldest`.
+    pub fn remove_requested_before(&mut self, oldest: Moment) {
+        self.assets.retain(|_, usage| usage.last_requested >= oldest);
+    }
+
     /// Removes the assets for which `exists` is false.
     pub fn retain(&mut self, exists: impl Fn(AssetKey) -> bool) {
         self.assets.retain(|asset, _| exists(asset));
--- a/components/decisions/tests/table_sync.rs
+++ b/components/decisions/tests/table_sync.rs
@@ -157,3 +157,31 @@
         _ => false,
     }
 }
+
+#[test]
+fn can_tell_a_new_leader_the_usage_of_the_last_seconds() {
+    let mut host = TestHost::new();
+    host.advance(500);
+    for caller in 0..4 {
+        host.request_model("heat", caller, 5_000);
+    }
+    host.advance(1_000);
+    let usage_of = |host: &TestHost| -> u32 {
+        reports(host).iter().flat_map(|report| &report.used).map(|row| row.1).sum()
+    };
+    assert_eq!(usage_of(&host), 4, "the first leader learns of each request once");
+    host.effects.clear();
+    // Another process leads now.
+    let from = support::identity("east-3");
+    let message = notice(2, TableUpdate { table: 2, ..update(0, 1) });
+    host.submit(HostEvent::Peer(Box::new(PeerEnvelope {
+        version: MESSAGE_VERSION,
+        from,
+        message,
+    })));
+    host.advance(100);
+    assert!((2..=4).contains(&usage_of(&host)), "{} requests told", usage_of(&host));
+    host.effects.clear();
+    host.advance(2_500);
+    assert_eq!(usage_of(&host), 0, "the usage is told once");
+}
