Count how requests ended and why, from the logs of all hosts

After a bad hour operators had to search for one request after the other. `wagtailledge causes` prints how often requests ended how, with the models or services that each cause met most, and the same by time.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,8 @@
 const EXIT_USAGE: u8 = 2;
 /// Width of help texts, in columns.
 const HELP_WIDTH: usize = 100;
+/// Default length of the windows of `causes`, in seconds.
+const DEFAULT_WINDOW: u32 = 10;
 /// Default time limit of `inventory apply --wait`.
 const DEFAULT_WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -44,6 +46,13 @@
         /// Log files of the hosts; standard input if empty.
         logs: Vec<PathBuf>,
     },
+    /// Count how requests ended and why.
+    Causes {
+        /// Length of the windows that the requests are counted in, in seconds.
+        every: u32,
+        /// Log files of the hosts; standard input if empty.
+        logs: Vec<PathBuf>,
+    },
     /// Show the leader and revision in force of each host, and the loaded models and adapters.
     Status {
         /// Settings file of this host.
@@ -141,7 +150,18 @@
         .descr("Explain the outcome of one request, and its cause, from the logs of the hosts")
         .footer("Example: wagtailledge explain 9a873848108e184f east-*.log")
         .command("explain");
-    construct!([serve, check, inventory, status, explain])
+    let every = long("every")
+        .help("Length of the windows that requests are counted in, in seconds; 10 by default")
+        .argument("SECONDS")
+        .fallback(DEFAULT_WINDOW);
+    let logs =
+        positional("LOG").help("Log files of the hosts; standard input if none are given").many();
+    let causes = construct!(Command::Causes { every, logs })
+        .to_options()
+        .descr("Count how requests ended and why, from the logs of the hosts")
+        .footer("Example: wagtailledge causes --every 60 east-*.log")
+        .command("causes");
+    construct!([serve, check, inventory, status, explain, causes])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Serves rarely used models within their deadlines, from an inventory kept in version control")
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,66 +1,11 @@
 //! `explain`: reconstructs the course and outcome of one request from the logs of the hosts.
 
-use std::fs::File;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::path::PathBuf;
 
-/// Keys of the log lines about requests, in the order in which they are written.
-const KEYS: [&str; 25] = [
-    "kind",
-    "host",
-    "request",
-    "subject",
-    "choice",
-    "reason",
-    "alternatives",
-    "inputs",
-    "upstream",
-    "attempt",
-    "outcome",
-    "status",
-    "first_ms",
-    "parts",
-    "pause_ms",
-    "took_ms",
-    "framing",
-    "end",
-    "open_bytes",
-    "limit",
-    "leaving",
-    "asked_pause_ms",
-    "expected",
-    "listing",
-    "zone",
-];
-
-/// One log line about the request.
-#[derive(Debug)]
-struct LogLine {
-    text: String,
-}
+use super::log_line::LogLine;
+use super::log_line::read_lines;
 
 impl LogLine {
-    /// Returns the line if its key `request` has the value `request`.
-    fn for_request(text: String, request: &str) -> Option<Self> {
-        let line = Self { text };
-        (line.field("request") == Some(request)).then_some(line)
-    }
-
-    /// Returns the value of `key`. Values may contain spaces, so a value extends to the next key.
-    fn field(&self, key: &str) -> Option<&str> {
-        let start = self.text.find(&format!(" {key}="))? + key.len() + 2;
-        let rest = &self.text[start..];
-        let ends = KEYS.iter().filter_map(|next| rest.find(&format!(" {next}=")));
-        Some(&rest[..ends.min().unwrap_or(rest.len())])
-    }
-
-    /// Returns the timestamp of the line as text, whose alphabetical order is the order of time.
-    fn time(&self) -> &str {
-        let timestamp = self.text.split_once('[').map_or("", |(_, rest)| rest);
-        timestamp.split_once(' ').map_or(timestamp, |(time, _)| time)
-    }
-
     /// Describes the outcome of the request, if this line records it.
     fn outcome(&self) -> Option<String> {
         let value = |key| self.field(key).unwrap_or("?");
@@ -129,33 +74,20 @@
                 self.statement()
             ),
             (Some(kind), _) => format!("{kind}: {}, {}", value("choice"), value("reason")),
-            (None, None) => self.text.clone(),
+            (None, None) => self.text().to_owned(),
         };
         format!("{} {}: {what}", self.time(), value("host"))
     }
 }
 
-/// Appends the lines about the request to `found`.
-fn read(source: impl BufRead, request: &str, found: &mut Vec<LogLine>) -> Result<(), String> {
-    for line in source.lines() {
-        let line = line.map_err(|error| error.to_string())?;
-        found.extend(LogLine::for_request(line, request));
-    }
-    Ok(())
-}
-
 /// Prints the logged events of a request in order of time, then its outcome.
 pub fn run(request: &str, logs: &[PathBuf]) -> Result<(), Vec<String>> {
     let mut found = Vec::new();
-    if logs.is_empty() {
-        read(std::io::stdin().lock(), request, &mut found)
-            .map_err(|problem| vec![format!("standard input: {problem}")])?;
-    }
-    for path in logs {
-        let failed = |problem: String| vec![format!("{}: {problem}", path.display())];
-        let file = File::open(path).map_err(|error| failed(error.to_string()))?;
-        read(BufReader::new(file), request, &mut found).map_err(failed)?;
-    }
+    read_lines(logs, |line| {
+        if line.request() == Some(request) {
+            found.push(line);
+        }
+    })?;
     if found.is_empty() {
         return Err(vec![format!(
             "no log line mentions request {request}: check the id, and pass the logs of all hosts"
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! Implementation of the subcommands.
 
+mod causes;
 mod check;
 mod explain;
 mod inventory;
+mod log_line;
 mod serve;
 mod status;
 
@@ -22,6 +24,7 @@
         Command::Check { settings, inventories } => check::run(settings.as_deref(), &inventories),
         Command::Inventory(command) => inventory::run(command),
         Command::Explain { request, logs } => explain::run(&request, &logs),
+        Command::Causes { every, logs } => causes::run(every, &logs),
         Command::Status { settings, json } => status::run(&settings, json),
     };
     match result {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -59,14 +59,19 @@
 [2026-09-07T19:32:21Z INFO  attempt] 9a90 at i-6e: broken host=east-1 request=9a90 upstream=i-6e attempt=1 outcome=broken status=200 first_ms=100 parts=6 pause_ms=40 took_ms=225 framing=until close end=regular open_bytes=8 limit=0.5
 ";
 
-fn explain(request: &str) -> Output {
-    let file = std::env::temp_dir().join(format!("explain-{}-{request}", std::process::id()));
+/// Runs a subcommand on a file with `LOGS`; `name` tells the files of several tests apart.
+fn read_logs(name: &str, arguments: &[&str]) -> Output {
+    let file = std::env::temp_dir().join(format!("logs-{}-{name}", std::process::id()));
     std::fs::write(&file, LOGS).unwrap();
-    let output = run_command(&["explain", request, file.to_str().unwrap()]);
+    let output = run_command(&[arguments, &[file.to_str().unwrap()]].concat());
     std::fs::remove_file(&file).unwrap();
     output
 }
 
+fn explain(request: &str) -> Output {
+    read_logs(request, &["explain", request])
+}
+
 #[test]
 fn can_explain_the_outcome_of_a_request() {
     let output = explain("9a87");
@@ -92,3 +97,38 @@
     assert!(open.ends_with("its host died, or has not ended it yet\n"), "{open}");
     assert_eq!(code(&explain("none")), 1);
 }
+
+#[test]
+fn can_count_how_requests_ended() {
+    let output = read_logs("causes", &["causes", "--every", "5"]);
+    assert_eq!(code(&output), 0);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let refused = "       1  failed: upstream failed, after an attempt: broken (llm/m1@1 1)\n";
+    assert!(text.contains(refused), "{text}");
+    let abandoned = "       1  caller left: it waited for an upstream (llm/m1@1 1)\n";
+    assert!(text.contains(abandoned), "{text}");
+    // One was only sent, and of the other only a broken attempt is logged.
+    assert!(text.contains("       2  no end in these logs"), "{text}");
+    let window = "19:32:15       0  1 caller left: it waited for an upstream; 1 failed: ";
+    assert!(text.contains(window), "{text}");
+}
+
+#[test]
+fn can_count_each_request_once_however_many_lines_end_it() {
+    let lines = "\
+[2026-09-07T19:32:12Z INFO  attempt] 1 at i: not run host=east-1 request=1 upstream=i attempt=1 outcome=not run status=503
+[2026-09-07T19:32:13Z INFO  attempt] 1 at j: streamed host=east-1 request=1 upstream=j attempt=2 outcome=streamed status=200
+[2026-09-07T19:32:11Z INFO  attempt] 2 at i: answered host=east-1 request=2 upstream=i attempt=1 outcome=answered status=500
+[2026-09-07T19:32:12Z INFO  decision] refuse m -> NotRun kind=refuse host=east-1 request=3 subject=m choice=NotRun reason=deadline passed alternatives=0
+";
+    let file = std::env::temp_dir().join(format!("causes-{}", std::process::id()));
+    std::fs::write(&file, lines).unwrap();
+    let output = run_command(&["causes", file.to_str().unwrap()]);
+    std::fs::remove_file(&file).unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    for line in ["       1  served\n", "       1  refused: deadline passed (m 1)\n"] {
+        assert!(text.contains(line), "{text}");
+    }
+    assert!(text.contains("       1  upstream answered 500 ( 1)\n"), "{text}");
+    assert!(!text.contains("no end in these logs"), "{text}");
+}
