Log the parts of a prompt with each attempt, and count answers that broke at their start

Attempt lines now name the parts that other requests may share, and the counter answer.broken_at_start counts answers that broke after their head and before the first part. No decision changes.

--- a/components/decisions/src/host/status.rs
+++ b/components/decisions/src/host/status.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::message::ReplicaState;
+use crate::request::RequestKey;
 use crate::time::Moment;
 
 use super::state::HostReducer;
@@ -54,6 +55,15 @@
 }
 
 impl HostReducer {
+    /// Shared parts of the prompt of an open request, as they are logged.
+    pub fn prompt_text(&self, request: RequestKey) -> String {
+        let request = self.requests.get(request);
+        let terms = request.and_then(|request| request.terms.as_ref());
+        let parts = terms.into_iter().flat_map(|terms| terms.prompt.shared_parts());
+        let names: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
+        names.join(",")
+    }
+
     /// Builds the status for operators.
     pub fn status(&self, now: Moment) -> HostStatus {
         let leader = self.leader.as_ref();
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -61,6 +61,14 @@
     pub output: u32,
 }
 
+impl PromptShape {
+    /// Hashes of the parts that other requests may have too: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared).map(|(part, _)| *part)
+    }
+}
+
 /// Settings of the route that a request matched.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteTerms {
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -73,7 +73,8 @@
         }
         self.recently_used.borrow_mut().insert(plan.upstream, Instant::now());
         let shell = Rc::clone(self);
-        let times = Rc::new(RefCell::new(AttemptTimes::start()));
+        let prompt = self.read(|reducer| reducer.prompt_text(request));
+        let times = Rc::new(RefCell::new(AttemptTimes::start(prompt)));
         let (request_id, upstream) = (call.request_id.clone(), call.upstream.clone());
         actix_rt::spawn(async move {
             let ticket = plan.ticket;
@@ -93,6 +94,9 @@
             if times.is_truncated() {
                 shell.parts.metrics.count("answer.truncated");
             }
+            if times.is_without_parts() {
+                shell.parts.metrics.count("answer.broken_at_start");
+            }
             if times.is_without_limit(&outcome) {
                 let notice = LimitNotice::Unlimited;
                 shell.submit(HostEvent::LimitStatement(key, dispatched, notice));
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -141,11 +141,13 @@
     pub body_end: Option<BodyEnd>,
     /// What the head of the answer said about its upstream.
     pub statement: UpstreamStatement,
+    /// Shared parts of the request's prompt, in hexadecimal.
+    prompt: String,
 }
 
 impl AttemptTimes {
-    /// Starts timing an attempt.
-    pub fn start() -> Self {
+    /// Starts timing an attempt of a request with these shared parts of its prompt.
+    pub fn start(prompt: String) -> Self {
         let now = Instant::now();
         Self {
             started: now,
@@ -156,6 +158,7 @@
             status: 0,
             body_end: None,
             statement: UpstreamStatement::default(),
+            prompt,
         }
     }
 
@@ -178,6 +181,11 @@
             && self.statement.limit == Some(LimitNotice::Unlimited)
     }
 
+    /// Whether the upstream sent the head of an answer and nothing else of it.
+    pub fn is_without_parts(&self) -> bool {
+        self.parts == 0 && self.body_end.is_some_and(|end| end.cause == EndCause::Failed)
+    }
+
     /// Whether the upstream began an answer and did not complete it.
     pub fn is_truncated(&self) -> bool {
         self.body_end.is_some_and(|end| {
@@ -216,7 +224,8 @@
         outcome = outcome, status = status, first_ms = first_ms, parts = times.parts,
         pause_ms = pause_ms as u64, took_ms = took_ms as u64,
         framing = framing, end = cause, open_bytes = open_bytes, limit = limit.as_str(),
-        leaving = times.statement.leaving, asked_pause_ms = asked_pause_ms;
+        leaving = times.statement.leaving, asked_pause_ms = asked_pause_ms,
+        prompt = times.prompt.as_str();
         "{request_id} at {upstream}: {outcome}"
     );
 }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 21] = [
+pub const METRIC_NAMES: [&str; 22] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -29,6 +29,7 @@
     "request.waiting",
     "request.open",
     "answer.truncated",
+    "answer.broken_at_start",
     "order.not_sent",
     "store.failed",
     "peer.messages",
--- a/src/cmd/log_line.rs
+++ b/src/cmd/log_line.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Keys of the log lines about requests, in the order in which they are written.
-const KEYS: [&str; 25] = [
+const KEYS: [&str; 26] = [
     "kind",
     "host",
     "request",
@@ -29,6 +29,7 @@
     "limit",
     "leaving",
     "asked_pause_ms",
+    "prompt",
     "expected",
     "listing",
     "zone",
