Test that a prompt part does not crash engine after engine

Four hosts, six stand-in engines that crash when they begin to answer a request with such a part and are replaced after a second, and sound requests that share all other parts.

--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use crate::http::ChunkStream;
+use crate::http::KillSwitch;
 use crate::http::StandInAnswer;
 use crate::http::StandInHandler;
 use crate::http::StandInRequest;
@@ -25,6 +26,8 @@
 const EVENTS_PER_ANSWER: u64 = 5;
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Time from the head of an answer that crashes the engine to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
 
 /// How an engine ends a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -77,6 +80,8 @@
     pub resumed_after: Option<u64>,
     /// Request headers by lower-case name.
     pub headers: BTreeMap<String, String>,
+    /// When the request arrived.
+    pub arrived: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -103,6 +108,11 @@
     /// Only requests with a number divisible by this one succeed; all if 0.
     succeeding: usize,
     leaving: LeavingAnswers,
+    /// Part of a prompt that crashes the engine when it begins to answer; none if empty.
+    crash_part: String,
+    /// When the engine crashed.
+    crashed_at: Option<Instant>,
+    server: Option<KillSwitch>,
 }
 
 /// A model engine that can simulate faults.
@@ -121,9 +131,19 @@
         Self { name: name.to_owned(), load_time, state: Arc::new(Mutex::new(state)) }
     }
 
+    /// An engine without models that crashes on the same part of a prompt.
+    #[must_use]
+    pub fn replacement(&self, name: &str) -> Self {
+        let engine = Self::new(name, &[], self.load_time);
+        engine.crash_on_part(&self.lock().crash_part.clone());
+        engine
+    }
+
     /// Starts its HTTP server on a free loopback port.
     pub fn start(&self) -> StandInServer {
-        StandInServer::start(Arc::new(self.clone()))
+        let server = StandInServer::start(Arc::new(self.clone()));
+        self.lock().server = Some(server.kill_switch());
+        server
     }
 
     /// Name of the engine in the store.
@@ -193,6 +213,16 @@
         self.lock().leaving = answers;
     }
 
+    /// Crashes when it begins to answer a request with this part in its prompt.
+    pub fn crash_on_part(&self, part: &str) {
+        part.clone_into(&mut self.lock().crash_part);
+    }
+
+    /// When the engine crashed; `None` if it runs.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        self.lock().crashed_at
+    }
+
     /// Executes the next `count` orders without answering them.
     pub fn lose_next_order_answers(&self, count: u32) {
         self.lock().order_answers_to_lose = count;
@@ -204,6 +234,19 @@
         state
     }
 
+    /// Ends the engine with all its connections.
+    async fn crash(self) -> Result<Bytes, std::io::Error> {
+        actix_rt::time::sleep(CRASH_DELAY).await;
+        {
+            let mut state = self.lock();
+            state.crashed_at.get_or_insert_with(Instant::now);
+            if let Some(server) = &state.server {
+                server.kill();
+            }
+        }
+        futures::future::pending().await
+    }
+
     fn order(&self, body: &Value) -> StandInAnswer {
         let mut state = self.lock();
         let status = state.execute_order(body, self.load_time);
@@ -237,7 +280,13 @@
         let after = request.header("last-event-id").parse().ok();
         let id = request.request_id.clone().unwrap_or_default();
         let headers = request.headers.clone();
-        state.runs.push(RunRecord { request_id: id.clone(), resumed_after: after, headers });
+        let arrived = Instant::now();
+        state.runs.push(RunRecord {
+            request_id: id.clone(),
+            resumed_after: after,
+            headers,
+            arrived,
+        });
         let end = state.stream_ends.pop_front().unwrap_or_default();
         let mut response_headers = vec![
             ("x-request-id", id.clone()),
@@ -245,6 +294,11 @@
             ("x-server-load", "1,0,64".to_owned()),
         ];
         response_headers.extend(statements);
+        if state.crashes_on(request.header("x-prompt-prefix")) {
+            let crash = self.clone().crash();
+            let events = futures::stream::once(crash).boxed_local();
+            return StandInAnswer::EventsWithHeaders(response_headers, events);
+        }
         let events = event_stream(&id, after.unwrap_or(0), end, state.numbering);
         match end {
             StreamEnd::Close | StreamEnd::CloseInsideEvent => {
@@ -264,6 +318,12 @@
         limit.into_iter().chain(leaving).collect()
     }
 
+    /// Whether the prompt with these parts crashes the engine.
+    fn crashes_on(&self, prompt: &str) -> bool {
+        let mut parts = prompt.split(',').filter_map(|part| part.split_once(':'));
+        !self.crash_part.is_empty() && parts.any(|(part, _)| part == self.crash_part)
+    }
+
     /// Makes the loading model resident once its load time has passed.
     fn finish_load(&mut self) {
         if let Some((model, _)) = self.loading.take_if(|(_, ready)| *ready <= Instant::now()) {
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -44,6 +44,8 @@
     spec: FleetSpec,
     store_server: StandInServer,
     servers: Vec<StandInServer>,
+    /// Number of engines that were replaced so far.
+    replacements: u64,
 }
 
 impl FleetStack {
@@ -62,6 +64,7 @@
             spec,
             store_server,
             servers: Vec::new(),
+            replacements: 0,
         };
         stack.configure(1, json!([]));
         for number in 0..spec.engines {
@@ -134,6 +137,29 @@
         }
     }
 
+    /// Starts another engine in place of each one that crashed `downtime` ago or earlier. It has
+    /// another name, the same fault and no models. Returns the engines that were replaced.
+    pub fn replace_crashed_engines(&mut self, downtime: Duration) -> Vec<FleetEngine> {
+        let mut replaced = Vec::new();
+        for index in 0..self.engines.len() {
+            let crashed_at = self.engines[index].crashed_at();
+            if crashed_at.is_none_or(|at| at.elapsed() < downtime) {
+                continue;
+            }
+            self.replacements += 1;
+            let name = format!("i-engine-{index}-{}", self.replacements);
+            let engine = self.engines[index].replacement(&name);
+            self.servers[index] = engine.start();
+            let old = std::mem::replace(&mut self.engines[index], engine);
+            self.store.remove(&format!("servers/{}", old.name()));
+            replaced.push(old);
+        }
+        if !replaced.is_empty() {
+            self.register();
+        }
+        replaced
+    }
+
     /// Settings file (TOML) for an entry host of this stack.
     pub fn settings_text(&self, name: &str) -> String {
         format!(
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -107,6 +107,17 @@
     fn handle(self: Arc<Self>, request: StandInRequest) -> LocalBoxFuture<'static, StandInAnswer>;
 }
 
+/// Closes the port and all connections of a server.
+#[derive(Debug, Clone)]
+pub struct KillSwitch(Arc<AtomicBool>);
+
+impl KillSwitch {
+    /// Closes the port and all connections at the server's next check.
+    pub fn kill(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// A running HTTP server of a stand-in; killed when dropped.
 #[derive(Debug)]
 pub struct StandInServer {
@@ -134,7 +145,12 @@
 
     /// Closes the port and all connections at the next check.
     pub fn kill(&self) {
-        self.killed.store(true, Ordering::SeqCst);
+        self.kill_switch().kill();
+    }
+
+    /// Switch that kills the server from any thread.
+    pub fn kill_switch(&self) -> KillSwitch {
+        KillSwitch(Arc::clone(&self.killed))
     }
 }
 
