Quarantine prompt parts that crash upstreams

Cause: a request that crashes the engine which begins to answer it looks like any other broken exchange. Nothing asked whether the engine had ended, what its requests had in common with those of the crashes before, or told other hosts, so that the next request with the same part went to the next engine.

Change: a host whose exchange breaks before or just after its answer began checks whether the engine still accepts connections. If not, it reports the parts of these prompts to the leader. The leader quarantines what three crashes have in common, after it has asked all hosts whether one of them knows a part to be sound, and publishes that; hosts refuse such requests at once, with the end of the quarantine as the time to come back.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -11,12 +11,14 @@
 use wagtailledge_decisions::configuration::digest_of;
 use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::event::AttemptOutcome;
+use wagtailledge_decisions::message::CrashReport;
 use wagtailledge_decisions::message::DemandNotice;
 use wagtailledge_decisions::message::LimitReport;
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
 use wagtailledge_decisions::message::ScopeDigest;
@@ -159,6 +161,7 @@
         limits: LimitReport::default(),
         leaving: Vec::new(),
         draining: false,
+        crash_report: CrashReport::default(),
     })
 }
 
@@ -183,6 +186,8 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         foreign_limits: LimitReport::default(),
+        quarantine: QuarantineTable::default(),
+        crash_report: CrashReport::default(),
     })
 }
 
@@ -274,6 +279,7 @@
         registry: RegistryUpdate::default(),
         declined: Vec::new(),
         limits: LimitTable::default(),
+        quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: None,
     };
--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -59,6 +59,8 @@
     pub tried: Vec<UpstreamKey>,
     /// Last failure that an upstream answered with. The caller gets it if no retry succeeds.
     pub failure: Option<Box<RecordedAnswer>>,
+    /// When the first part of the answer of its latest dispatch arrived.
+    pub first_part: Option<Moment>,
     /// Whether its wait for a permit was compared with its deadline since the leader knows of it.
     pub permit_checked: bool,
 }
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -34,6 +34,8 @@
     Limit,
     /// A host is granted permits for requests to a limited upstream.
     Permit,
+    /// A prompt part is quarantined because it crashes upstreams, or its quarantine ends.
+    Quarantine,
     /// The entry of an upstream in the platform's registry appears, changes its process or state, or
     /// is removed.
     Register,
@@ -89,6 +91,8 @@
     Refuse(RequestTicket, CallerRefusal),
     /// Closes the upstream connection of this attempt, given by ticket and attempt number.
     Cancel(RequestTicket, u32),
+    /// Checks whether an upstream accepts connections.
+    CheckUpstream(UpstreamKey),
     /// Sends a message to another entry host.
     Send(HostIdentity, Box<PeerMessage>),
     /// Sends one message to several entry hosts.
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -142,6 +142,17 @@
     Truncated,
 }
 
+/// What an attempt to connect to an upstream showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamReach {
+    /// It accepted the connection.
+    Listening,
+    /// Its address refused the connection: no process listens there.
+    Refused,
+    /// There was no reply.
+    Silent,
+}
+
 /// Input event of the reducer.
 #[derive(Debug, Clone)]
 pub enum HostEvent {
@@ -154,6 +165,8 @@
     /// The answer of an attempt, given by request and attempt number, begins. The runtime holds it
     /// back until the effect `Forward`.
     AttemptStarted(RequestKey, u32),
+    /// The first part of the answer of an attempt, given by request and attempt number, arrived.
+    AttemptAdvanced(RequestKey, u32),
     /// An attempt, given by request and attempt number, ended.
     AttemptEnded(RequestKey, u32, AttemptOutcome),
     /// A message from another entry host was received.
@@ -171,6 +184,11 @@
     LeavingReport(UpstreamKey),
     /// An upstream that turned a request away wants no other from this host for this time.
     PauseReport(UpstreamKey, Duration),
+    /// The check of an upstream ended.
+    UpstreamChecked(UpstreamKey, UpstreamReach),
+    /// The key-value service's watch delivered the quarantine record: its version and value. The
+    /// value is empty if there is none.
+    Quarantine(u64, String),
     /// The platform delivered its complete configuration, with its revision.
     Inventory(u64, ItemMap),
     /// The key-value service's watch delivered the lease record of this host's scope: its version
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -52,6 +52,14 @@
         self.record_success(upstream, effects);
     }
 
+    /// Records that the first part of the answer of an attempt arrived.
+    pub(super) fn attempt_advanced(&mut self, now: Moment, key: RequestKey, attempt: u32) {
+        let request = self.requests.get_mut(key);
+        if let Some(request) = request.filter(|request| request.attempts == attempt) {
+            request.first_part.get_or_insert(now);
+        }
+    }
+
     /// Ends the backoff of a replica that serves a request, and its limit to one probe at a time.
     fn clear_replica_backoff(&mut self, target: RequestTarget, upstream: UpstreamKey) {
         if let RequestTarget::Asset(asset) = target {
@@ -137,6 +145,7 @@
         if let RequestTarget::Asset(asset) = target {
             self.replica_probes.remove(&(asset, upstream));
         }
+        self.observe_attempt_end(now, key, upstream, &outcome, effects);
         match outcome {
             AttemptOutcome::Streamed => self.remove_request(key),
             AttemptOutcome::Answered(answer) => {
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -76,6 +76,7 @@
             runs: 0,
             tried: Vec::new(),
             failure: None,
+            first_part: None,
             permit_checked: false,
         };
         self.retry_budget.record_request(now, self.service_of(request.target));
@@ -110,6 +111,10 @@
         let target = request.target;
         let wait_key = queue_key(key, request);
         self.queue.push(target, wait_key);
+        if self.quarantine_rule(now, key).is_some() {
+            self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Quarantined, effects);
+            return;
+        }
         self.dispatch_waiting(now, target, effects);
         if !self.requests.get(key).is_some_and(|request| request.stage == RequestStage::Waiting) {
             return;
@@ -179,7 +184,13 @@
         let request = &self.requests[key];
         let outcome_unknown = outcome == RefusalOutcome::NotRun && request.may_have_run;
         let outcome = if outcome_unknown { RefusalOutcome::Unknown } else { outcome };
-        let refusal = self.refusal(self.last_event, request.target, outcome, reason);
+        let mut refusal = self.refusal(self.last_event, request.target, outcome, reason);
+        let rule = self.quarantine_rule(self.last_event, key);
+        let rule = rule.filter(|_| reason == RefusalReason::Quarantined);
+        if let Some(rule) = rule {
+            refusal.retry_after = rule.until.since(self.last_event);
+        }
+        let inputs = rule.map_or_else(String::new, |rule| format!("prompt parts {}", rule.name()));
         if !request.settled {
             effects.push(HostEffect::LogDecision(DecisionRecord {
                 kind: DecisionKind::Refuse,
@@ -188,7 +199,7 @@
                 choice: format!("{outcome:?}"),
                 reason: reason_text(reason),
                 alternatives: 0,
-                inputs: String::new(),
+                inputs,
             }));
             effects.push(HostEffect::Refuse(self.requests[key].ticket, refusal));
         }
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -206,6 +206,7 @@
         let request = &mut self.requests[key];
         request.stage = RequestStage::Dispatched(upstream);
         request.attempts += 1;
+        request.first_part = None;
         let (ticket, attempt, target) = (request.ticket, request.attempts, request.target);
         let rank = request.rank;
         if attempt > 1 {
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -3,12 +3,14 @@
 mod attempts;
 mod callers;
 mod calls;
+mod crashes;
 mod dispatch;
 mod limits;
 mod names;
 mod peer_leaders;
 mod peer_sync;
 mod permits;
+mod quarantine;
 mod refusals;
 mod registry;
 mod scope;
--- a/components/decisions/src/host/peer_leaders.rs
+++ b/components/decisions/src/host/peer_leaders.rs
@@ -176,6 +176,8 @@
                 .collect(),
             limits: self.own_limit_table(now, limit_ack),
             foreign_limits: self.foreign_limit_report(now, scope),
+            quarantine: self.quarantine_table(now, false),
+            crash_report: self.relayed_crash_report(now),
         };
         for receiver in receivers {
             effects.push(HostEffect::send(receiver, PeerMessage::Digest(digest.clone())));
@@ -248,6 +250,8 @@
         self.apply_update(now, &from.scope, TableRange::OwnScope, &digest.update, effects);
         self.apply_limit_table(now, &from, &digest.limits, effects);
         self.handle_limit_report(now, &from, &digest.foreign_limits, effects);
+        self.apply_quarantine_table(now, &from, &digest.quarantine, effects);
+        self.handle_crash_report(now, &from, &digest.crash_report, effects);
         let usage = from_usage_rows(&self.catalog, &digest.used);
         let declined = self.assets_named(&digest.declined);
         self.with_placement(now, effects, |placement, context| {
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -86,6 +86,7 @@
         RefusalReason::QueueFull => "queue is full",
         RefusalReason::CallerLimit => "too many requests of this caller",
         RefusalReason::UpstreamLimit => "limits of its upstreams are used up",
+        RefusalReason::Quarantined => "its prompt crashes upstreams",
         RefusalReason::UpstreamsPaused => "its upstreams asked for pauses",
         RefusalReason::NoCapacity => "no engine has room",
         RefusalReason::UpstreamFailed => "upstream failed",
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -87,7 +87,12 @@
                         logged.push((upstream.name.clone(), choice, reason));
                     }
                     // The upstream restarted: discards the state of its earlier process.
-                    if old.is_some_and(|old| old.started_ms != upstream.started_ms) {
+                    let restarted = old.filter(|old| old.started_ms != upstream.started_ms);
+                    if let Some(old) = restarted {
+                        let process = self.catalog.process_named(&old.name, old.started_ms);
+                        if let Some(process) = process {
+                            self.confirm_crash(now, process, effects);
+                        }
                         self.unregister_upstream(&upstream.name);
                     }
                     self.register_upstream(now, &upstream, effects);
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -141,6 +141,7 @@
             },
             declined: declined.collect(),
             limits: self.limit_table(now, limit_ack),
+            quarantine: self.quarantine_table(now, true),
             hosts: self.host_count().unwrap_or(0) as u32,
             lease: self.lease.stored(),
         }
@@ -168,8 +169,11 @@
         let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
         let gap_due = self.leader_sync.has_gap
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
+        let crashes_due =
+            self.crashes.is_report_due(now) && now.since(self.leader_sync.sent_at) >= pause;
         if !usage_due
             && !gap_due
+            && !crashes_due
             && !limits_due
             && !self.leader_sync.is_due(now, pause, heartbeat * IDLE_HEARTBEATS, false)
         {
@@ -181,6 +185,7 @@
         let usage = std::mem::take(&mut self.unreported_usage);
         let suspects = std::mem::take(&mut self.suspects);
         let limits = self.limit_report(now);
+        let crash_report = self.crash_report(now);
         let name_of = |key| self.catalog.upstreams.get(key).map(|record| record.name.clone());
         let leaving = self.members.leaving_unlisted(&self.catalog);
         let notice = DemandNotice {
@@ -192,6 +197,7 @@
             used: to_usage_rows(&self.catalog, usage),
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
+            crash_report,
             leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
             draining: self.draining,
         };
@@ -218,6 +224,7 @@
         }
         if !same_leader || notice.epoch != known {
             self.limit_leader_replaced();
+            self.crashes.report_all(now);
         }
         self.leader =
             Some(LeaderContact { identity: from.clone(), epoch: notice.epoch, last_message: now });
@@ -233,6 +240,7 @@
         let scope = from.scope.clone();
         self.apply_update(now, &scope, TableRange::AllScopes, &notice.update, effects);
         self.apply_limit_table(now, &from, &notice.limits, effects);
+        self.apply_quarantine_table(now, &from, &notice.quarantine, effects);
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
@@ -341,6 +349,7 @@
             }
         });
         self.handle_limit_report(now, &from, &notice.limits, effects);
+        self.handle_crash_report(now, &from, &notice.crash_report, effects);
         self.plan(now, effects);
     }
 }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -49,9 +49,11 @@
 use crate::timing::TimingRules;
 
 use super::calls::CallLedger;
+use super::crashes::CrashObserver;
 use super::limits::HostLimits;
 use super::peer_leaders::PeerLeader;
 use super::peer_sync::PeerSync;
+use super::quarantine::HostQuarantine;
 use super::usage::UsageCounts;
 
 /// Gap between two events, ticks included, after which the process counts as having been frozen.
@@ -83,6 +85,8 @@
     pub(super) view: ReplicaView,
     pub(super) tracker: UpstreamTracker,
     pub(super) limits: HostLimits,
+    pub(super) crashes: CrashObserver,
+    pub(super) quarantine: HostQuarantine,
     /// All open requests, settled ones included.
     pub(super) requests: SlotMap<RequestKey, RequestRecord>,
     /// Keys of the open requests by the ticket that the frontend gave them.
@@ -168,6 +172,8 @@
             view: ReplicaView::new(table_seed),
             tracker: UpstreamTracker::default(),
             limits: HostLimits::new(now, table_seed),
+            crashes: CrashObserver::default(),
+            quarantine: HostQuarantine::default(),
             requests: SlotMap::with_key(),
             tickets: HashMap::new(),
             queue: WaitingQueue::default(),
@@ -233,6 +239,9 @@
             HostEvent::AttemptStarted(request, attempt) => {
                 self.attempt_started(request, attempt, effects);
             }
+            HostEvent::AttemptAdvanced(request, attempt) => {
+                self.attempt_advanced(now, request, attempt);
+            }
             HostEvent::AttemptEnded(request, attempt, outcome) => {
                 self.attempt_ended(now, request, attempt, outcome, effects);
             }
@@ -256,6 +265,12 @@
             HostEvent::PauseReport(upstream, pause) => {
                 self.upstream_pauses(now, upstream, pause, effects);
             }
+            HostEvent::UpstreamChecked(upstream, reach) => {
+                self.upstream_checked(now, upstream, reach, effects);
+            }
+            HostEvent::Quarantine(version, value) => {
+                self.apply_record(now, version, &value, effects);
+            }
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, effects);
@@ -322,6 +337,7 @@
         self.configuration_tick(now, effects);
         self.plan(now, effects);
         self.limit_tick(now, effects);
+        self.quarantine_tick(now, effects);
         self.dispatch_all_waiting(now, effects);
         self.send_notices(now, effects);
         if now >= self.next_sweep {
@@ -331,6 +347,7 @@
             self.recent_usage.remove_requested_before(now.before(RECENT_USAGE_TIME));
             self.retry_demand_until.retain(|_, until| *until > now);
             self.replica_backoffs.sweep(now);
+            self.quarantine_sweep(now);
             self.forget_processes(now);
         }
     }
@@ -428,6 +445,9 @@
             }
             CallPurpose::LedgerOutcome(key) => self.handle_outcome_reply(now, &key, &outcome),
             CallPurpose::LedgerDelete => {}
+            CallPurpose::QuarantineRead | CallPurpose::QuarantineWrite => {
+                self.handle_record_reply(now, outcome, effects);
+            }
         }
     }
 
@@ -530,6 +550,7 @@
         self.placement = held_epoch.map(|epoch| PlacementState::new(now, epoch));
         self.report_recent_usage(now);
         self.limit_leadership_changed(now, held_epoch.is_some(), effects);
+        self.quarantine_leadership_changed(now, held_epoch.is_some());
         if let Some(epoch) = held_epoch {
             let last_message = now;
             self.leader = Some(LeaderContact { identity: self.me.clone(), epoch, last_message });
--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`store`], [`registry`]: calls to the key-value service, and the pending ones by purpose.
 //! - [`admission`]: open requests and the queue of waiting requests.
 //! - [`routing`]: replicas of all scopes; load and health of upstreams.
+//! - [`quarantine`]: prompt parts that crash upstreams.
 //! - [`limits`]: limits that upstreams set on the requests of all hosts together.
 //! - [`retry`]: retry budget of a host.
 //! - [`ledger`]: records that prevent a non-idempotent call from running twice.
@@ -36,6 +37,7 @@
 pub mod message;
 pub mod order;
 pub mod placement;
+pub mod quarantine;
 pub mod registry;
 pub mod request;
 pub mod retry;
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -214,6 +214,73 @@
     }
 }
 
+/// Requests with all of these prompt parts crash upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRow {
+    /// The parts.
+    #[serde(rename = "p")]
+    pub parts: Vec<u64>,
+    /// Time until the end of the quarantine, in milliseconds; 0 if it was lifted.
+    #[serde(rename = "l")]
+    pub left_ms: u64,
+}
+
+/// Quarantined prompt parts, as a leader publishes them.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct QuarantineTable {
+    /// Rules in force, and those that were lifted a short time ago.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<QuarantineRow>,
+    /// Parts that may crash upstreams. Hosts that know one to be sound report that.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<u64>,
+}
+
+impl QuarantineTable {
+    /// Whether there is nothing to publish.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.suspects.is_empty()
+    }
+}
+
+/// Crash of a process, and what it had just begun to work on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRow {
+    /// Name of the upstream.
+    #[serde(rename = "u")]
+    pub upstream: String,
+    /// When the upstream's process started, by its own clock; 0 if that is not known.
+    #[serde(rename = "b")]
+    pub started_ms: u64,
+    /// Time since the crash was seen, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Prompt parts of the requests that it had just begun to work on.
+    #[serde(rename = "p")]
+    pub parts: Vec<u64>,
+}
+
+/// What a host reports about crashes of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Crashes that the receiver may not know.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashRow>,
+    /// Published suspects that the sender knows to be sound.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub sound: Vec<u64>,
+    /// Rules that the receiver did not publish.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rules: Vec<QuarantineRow>,
+}
+
+impl CrashReport {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.sound.is_empty() && self.rules.is_empty()
+    }
+}
+
 /// Permits for requests to a limited upstream. They expire soon after the report that asked for
 /// them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -254,6 +321,9 @@
     /// Limits of upstreams.
     #[serde(default, skip_serializing_if = "LimitTable::is_empty")]
     pub limits: LimitTable,
+    /// Prompt parts that crash upstreams.
+    #[serde(rename = "q", default, skip_serializing_if = "QuarantineTable::is_empty")]
+    pub quarantine: QuarantineTable,
     /// Number of entry hosts that the leader knows of, itself included; 0 if it has no host list.
     #[serde(rename = "n", default)]
     pub hosts: u32,
@@ -297,6 +367,9 @@
     /// Limits of upstreams and permits that the sender waits for.
     #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
     pub limits: LimitReport,
+    /// Crashes of upstreams.
+    #[serde(rename = "crashes", default, skip_serializing_if = "CrashReport::is_empty")]
+    pub crash_report: CrashReport,
     /// Upstreams that said that they are leaving, though their entries do not.
     #[serde(rename = "departing", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<ProcessRow>,
@@ -331,6 +404,12 @@
     /// Limits of upstreams in the receiver's scope, and permits that the sender's scope waits for.
     #[serde(default, skip_serializing_if = "LimitReport::is_empty")]
     pub foreign_limits: LimitReport,
+    /// Prompt parts that crash upstreams; without suspects.
+    #[serde(default, skip_serializing_if = "QuarantineTable::is_empty")]
+    pub quarantine: QuarantineTable,
+    /// Crashes of upstreams, as hosts of the sender's scope reported them.
+    #[serde(rename = "crashes", default, skip_serializing_if = "CrashReport::is_empty")]
+    pub crash_report: CrashReport,
 }
 
 /// Message between entry hosts.
--- a/components/decisions/src/registry.rs
+++ b/components/decisions/src/registry.rs
@@ -36,6 +36,10 @@
     LedgerOutcome(LedgerKey),
     /// Deletes the ledger record of a non-idempotent call that never ran.
     LedgerDelete,
+    /// Reads the quarantine record.
+    QuarantineRead,
+    /// Writes the quarantine record.
+    QuarantineWrite,
     /// Reads the head of the configuration.
     ConfigurationHead,
     /// Reads the configuration shard with this key.
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -133,6 +133,8 @@
     CallerLimit,
     /// The upstreams that could serve the request have limits that are used up until the deadline.
     UpstreamLimit,
+    /// Its prompt has a part that crashes upstreams.
+    Quarantined,
     /// The upstreams that could serve the request asked for pauses beyond the deadline.
     UpstreamsPaused,
     /// No engine has capacity for a replica within the caps on replicas.
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -30,6 +30,7 @@
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::request::RecordedAnswer;
 use wagtailledge_decisions::request::RequestRepeat;
@@ -457,6 +458,7 @@
         registry: RegistryUpdate::default(),
         declined: Vec::new(),
         limits,
+        quarantine: QuarantineTable::default(),
         hosts: 2,
         lease: None,
     }
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -13,6 +13,7 @@
 use wagtailledge_decisions::message::LeaderNotice;
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::StoredLease;
 use wagtailledge_decisions::message::TableUpdate;
 
@@ -111,6 +112,7 @@
         registry: RegistryUpdate::default(),
         declined: Vec::new(),
         limits: LimitTable::default(),
+        quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: (source == LeaseSource::Leader).then_some(lease),
     }));
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -31,6 +31,7 @@
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::PermitGrant;
+use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::message::WaitRow;
 use wagtailledge_decisions::order::OrderKind;
@@ -147,6 +148,7 @@
         registry: RegistryUpdate::default(),
         declined: Vec::new(),
         limits,
+        quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: None,
     }
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::ListedHost;
 use wagtailledge_decisions::event::ListedState;
+use wagtailledge_decisions::message::CrashReport;
 use wagtailledge_decisions::message::DemandNotice;
 use wagtailledge_decisions::message::LeaderNotice;
 use wagtailledge_decisions::message::LimitReport;
@@ -28,6 +29,7 @@
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::PermitWant;
+use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
 use wagtailledge_decisions::message::TableAck;
@@ -136,6 +138,7 @@
             registry: RegistryUpdate::default(),
             declined: Vec::new(),
             limits: LimitTable::default(),
+            quarantine: QuarantineTable::default(),
             hosts: 0,
             lease: None,
         };
@@ -179,6 +182,7 @@
             used: Vec::new(),
             suspects: Vec::new(),
             limits: LimitReport { number: self.now.0, wants: vec![want], ..LimitReport::default() },
+            crash_report: CrashReport::default(),
             leaving: Vec::new(),
             draining: false,
         };
--- a/components/decisions/tests/table_sync.rs
+++ b/components/decisions/tests/table_sync.rs
@@ -11,6 +11,7 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::TimingRules;
 use wagtailledge_decisions::discovery::RegistryUpdate;
+use wagtailledge_decisions::message::CrashReport;
 use wagtailledge_decisions::message::DemandNotice;
 use wagtailledge_decisions::message::LeaderNotice;
 use wagtailledge_decisions::message::LimitReport;
@@ -18,6 +19,7 @@
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
 use wagtailledge_decisions::message::TableAck;
@@ -58,6 +60,7 @@
         registry: RegistryUpdate::default(),
         declined: Vec::new(),
         limits: LimitTable::default(),
+        quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: None,
     })
@@ -118,6 +121,7 @@
             limits: LimitReport::default(),
             leaving: Vec::new(),
             draining: false,
+            crash_report: CrashReport::default(),
         };
         leader.submit(HostEvent::Peer(Box::new(PeerEnvelope {
             version: MESSAGE_VERSION,
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -178,7 +178,10 @@
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Part(part, last) => {
-                    times.borrow_mut().record_part();
+                    let is_first = times.borrow_mut().record_part();
+                    if is_first {
+                        shell.submit(HostEvent::AttemptAdvanced(plan.request, plan.attempt));
+                    }
                     let mut calls = shell.calls.borrow_mut();
                     let Some(live) = calls.get_mut(plan.ticket) else {
                         return futures::future::ready(false).boxed_local();
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -15,6 +15,7 @@
 use wagtailledge_decisions::store::StoreCall;
 use wagtailledge_decisions::store::StoreOutcome;
 use wagtailledge_frontend::CallerReply;
+use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_upstreams::OrderRequest;
 use wagtailledge_upstreams::OrderTarget;
 use wagtailledge_upstreams::WritePermit;
@@ -44,6 +45,7 @@
                 self.reply(ticket, CallerReply::Refusal(refusal));
             }
             HostEffect::Cancel(ticket, attempt) => self.cancel_attempt(ticket, attempt),
+            HostEffect::CheckUpstream(upstream) => self.check_upstream(upstream),
             HostEffect::Send(to, message) => self.send_message(&[to], *message),
             HostEffect::Broadcast(receivers, message) => self.send_message(&receivers, *message),
             HostEffect::Store(call) => self.call_store(call),
@@ -92,6 +94,22 @@
         self.parts.peers.send(addresses, &envelope);
     }
 
+    fn check_upstream(self: &Rc<Self>, upstream: UpstreamKey) {
+        let address = self.read(|reducer| {
+            let record = reducer.catalog().upstreams.get(upstream)?;
+            record.address.parse().ok()
+        });
+        let Some(address) = address else {
+            return;
+        };
+        let check = self.parts.upstreams.check(address);
+        let shell = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let reach = check.await;
+            shell.submit(HostEvent::UpstreamChecked(upstream, reach));
+        });
+    }
+
     fn call_store(self: &Rc<Self>, call: StoreCall) {
         let outcome = self.parts.store.call(call.op);
         let shell = Rc::clone(self);
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -52,6 +52,7 @@
         DecisionKind::Health => "health",
         DecisionKind::Limit => "limit",
         DecisionKind::Permit => "permit",
+        DecisionKind::Quarantine => "quarantine",
         DecisionKind::Register => "register",
     }
 }
@@ -162,8 +163,8 @@
         }
     }
 
-    /// Records the arrival of a part.
-    pub fn record_part(&mut self) {
+    /// Records the arrival of a part; returns whether it is the first one.
+    pub fn record_part(&mut self) -> bool {
         let now = Instant::now();
         match self.first_part {
             None => self.first_part = Some(now - self.started),
@@ -171,6 +172,7 @@
         }
         self.last_part = now;
         self.parts += 1;
+        self.parts == 1
     }
 
     /// Whether the attempt ended with a complete, successful answer that names no limit.
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 22] = [
+pub const METRIC_NAMES: [&str; 23] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -24,6 +24,7 @@
     "decision.health",
     "decision.limit",
     "decision.permit",
+    "decision.quarantine",
     "decision.register",
     "request.time",
     "request.waiting",
--- a/components/entry/tests/departures.rs
+++ b/components/entry/tests/departures.rs
@@ -21,6 +21,7 @@
 use wagtailledge_decisions::event::ListedHost;
 use wagtailledge_decisions::event::ListedState;
 use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::event::UpstreamReach;
 use wagtailledge_decisions::order::OrderOutcome;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::store::StoreOp;
@@ -128,6 +129,10 @@
         ready(None).boxed_local()
     }
 
+    fn check(&self, _address: SocketAddr) -> LocalBoxFuture<'static, UpstreamReach> {
+        futures::future::ready(UpstreamReach::Listening).boxed_local()
+    }
+
     fn sweep(&self) {}
 }
 
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::event::UpstreamReach;
 use wagtailledge_decisions::event::UpstreamStatement;
 
 use crate::framing::BodyEnd;
@@ -88,6 +89,9 @@
     /// Requests the upstream's load. `None` if its dialect has no such request or it failed.
     fn load(&self, address: SocketAddr) -> LocalBoxFuture<'static, Option<UpstreamLoad>>;
 
+    /// Checks whether the upstream accepts connections.
+    fn check(&self, address: SocketAddr) -> LocalBoxFuture<'static, UpstreamReach>;
+
     /// Closes idle connections that have expired.
     fn sweep(&self);
 }
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -17,6 +17,7 @@
 use log::debug;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::event::UpstreamReach;
 use wagtailledge_decisions::request::RecordedAnswer;
 
 use crate::call::AnswerHead;
@@ -297,6 +298,11 @@
         self.dialect.load(self.pool.clone(), address)
     }
 
+    fn check(&self, address: SocketAddr) -> LocalBoxFuture<'static, UpstreamReach> {
+        let pool = self.pool.clone();
+        async move { pool.check(address).await }.boxed_local()
+    }
+
     fn sweep(&self) {
         self.pool.sweep();
     }
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use hyper_util::rt::TokioIo;
 use log::debug;
 use tokio::task::AbortHandle;
+use wagtailledge_decisions::event::UpstreamReach;
 
 use crate::stream::RevocableStream;
 use crate::stream::StreamControl;
@@ -58,6 +60,25 @@
 
 impl std::error::Error for ExchangeFault {}
 
+/// Why a connection could not be opened.
+#[derive(Debug)]
+enum ConnectFault {
+    /// The address refused it: no process listens there. Holds the error.
+    Refused(String),
+    /// Any other reason. Holds the error.
+    Failed(String),
+}
+
+impl From<ConnectFault> for ExchangeFault {
+    fn from(fault: ConnectFault) -> Self {
+        match fault {
+            ConnectFault::Refused(problem) | ConnectFault::Failed(problem) => {
+                Self::NotSent(problem)
+            }
+        }
+    }
+}
+
 type RequestSender = SendRequest<Full<Bytes>>;
 
 /// Open connection, closed when dropped. During an exchange it is reset, so that nothing of the
@@ -124,12 +145,16 @@
     /// Returns the connection to the pool. Must be called only after the whole body was read.
     /// `keep_alive` is the time for which the upstream keeps an idle connection open, if known.
     pub fn release(self, keep_alive: Option<Duration>) {
-        let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
-        let max_idle = keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
-        self.pool.put(self.address, self.connection, max_idle);
+        self.pool.put(self.address, self.connection, max_idle_time(keep_alive));
     }
 }
 
+/// Time for which a connection is kept idle whose upstream keeps it for `keep_alive`, if known.
+fn max_idle_time(keep_alive: Option<Duration>) -> Duration {
+    let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
+    keep_alive.saturating_sub(KEEP_ALIVE_MARGIN)
+}
+
 impl ConnectionPool {
     /// Sends a request and waits for the head of its answer. Reuses only connections that have been
     /// idle for less than `reuse_within`; zero always opens a new one.
@@ -164,7 +189,7 @@
                 },
             }
         }
-        let mut connection = Self::connect(address).await.map_err(ExchangeFault::NotSent)?;
+        let mut connection = Self::connect(address).await?;
         connection.control.begin_exchange(terms);
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.answer(address, connection, response)),
@@ -183,13 +208,34 @@
         OpenAnswer { head, body, connection }
     }
 
-    async fn connect(address: SocketAddr) -> Result<OpenConnection, String> {
+    /// Opens a connection to see whether an upstream accepts it. The next exchange uses it.
+    pub async fn check(&self, address: SocketAddr) -> UpstreamReach {
+        match Self::connect(address).await {
+            Ok(connection) => {
+                self.put(address, connection, max_idle_time(None));
+                UpstreamReach::Listening
+            }
+            Err(ConnectFault::Refused(_)) => UpstreamReach::Refused,
+            Err(ConnectFault::Failed(_)) => UpstreamReach::Silent,
+        }
+    }
+
+    async fn connect(address: SocketAddr) -> Result<OpenConnection, ConnectFault> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(format!("connecting to {address} failed: {error}")),
+            Ok(Err(error)) => {
+                let problem = format!("connecting to {address} failed: {error}");
+                let refused = error.kind() == ErrorKind::ConnectionRefused;
+                return Err(if refused {
+                    ConnectFault::Refused(problem)
+                } else {
+                    ConnectFault::Failed(problem)
+                });
+            }
             Err(_elapsed) => {
-                return Err(format!("connecting to {address} took over {CONNECT_TIMEOUT:?}"));
+                let problem = format!("connecting to {address} took over {CONNECT_TIMEOUT:?}");
+                return Err(ConnectFault::Failed(problem));
             }
         };
         // Without TCP_NODELAY, requests may be delayed but are still correct.
@@ -197,11 +243,14 @@
             debug!("TCP_NODELAY not set for {address}, requests may be delayed: {error}");
         }
         let control = Rc::new(StreamControl::default());
+        let failed = |problem: &str, error: &dyn fmt::Display| {
+            ConnectFault::Failed(format!("{problem} {address}: {error}"))
+        };
         let stream = RevocableStream::new(stream, Rc::clone(&control))
-            .map_err(|error| format!("connection to {address} cannot be made to reset: {error}"))?;
+            .map_err(|error| failed("no reset can be set for the connection to", &error))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| format!("HTTP handshake with {address} failed: {error}"))?;
+            .map_err(|error| failed("HTTP handshake failed with", &error))?;
         let task = actix_rt::spawn(async move {
             if let Err(error) = connection.await {
                 debug!("connection to {address} failed: {error}");
