--- a/components/standins/src/fleet/store.rs
+++ b/components/standins/src/fleet/store.rs
@@ -38,7 +38,7 @@
     ttl: Duration,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct StoreState {
     revision: u64,
     items: BTreeMap<String, StoredValue>,
@@ -53,6 +53,29 @@
     refusing: bool,
     calls: u64,
     watches: u64,
+    /// Most items of a page.
+    page_items: usize,
+}
+
+/// Most items of a page, unless a test sets another number.
+const PAGE_ITEMS: usize = 500;
+
+impl Default for StoreState {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            compacted_revision: 0,
+            leases: BTreeMap::new(),
+            silent_periods: 0,
+            silent: false,
+            refusing: false,
+            calls: 0,
+            watches: 0,
+            page_items: PAGE_ITEMS,
+        }
+    }
 }
 
 /// The store, which can simulate faults.
@@ -80,6 +103,11 @@
         self.lock().refusing = refusing;
     }
 
+    /// Sets the most items that a page lists.
+    pub fn set_page_items(&self, count: usize) {
+        self.lock().page_items = count;
+    }
+
     /// Discards the history, so that a watch from an older revision fails with status 410.
     pub fn compact(&self) {
         let mut state = self.lock();
@@ -138,7 +166,7 @@
                 if after < state.compacted_revision {
                     return StandInAnswer::Json(410, json!({}));
                 }
-                let events = state.events(prefix, after);
+                let events = state.events(&prefix, after);
                 if !events.is_empty() || Instant::now() >= deadline {
                     let at = state.revision;
                     return StandInAnswer::Json(200, json!({ "events": events, "at": at }));
@@ -263,14 +291,18 @@
         match path {
             "/-/kv-key" => {
                 let key = request.query_parameter("key");
-                let status = if self.items.contains_key(key) { 200 } else { 404 };
-                (status, self.item_json(key))
+                let status = if self.items.contains_key(&key) { 200 } else { 404 };
+                (status, self.item_json(&key))
             }
             "/-/kv-range" => {
                 let prefix = request.query_parameter("prefix");
-                let keys = self.items.keys().filter(|key| key.starts_with(prefix));
-                let items: Vec<Value> = keys.map(|key| self.item_json(key)).collect();
-                (200, json!({ "items": items, "hasMore": false, "at": self.revision }))
+                let after = request.query_parameter("after");
+                let keys = self.items.keys().filter(|key| key.starts_with(&prefix));
+                let mut keys = keys.filter(|key| after.is_empty() || **key > after);
+                let page = keys.by_ref().take(self.page_items);
+                let items: Vec<Value> = page.map(|key| self.item_json(key)).collect();
+                let has_more = keys.next().is_some();
+                (200, json!({ "items": items, "hasMore": has_more, "at": self.revision }))
             }
             "/-/kv-txn" => self.transact(&request.json()),
             "/-/kv-lease" => self.grant_lease(&request.json()),
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -26,6 +26,7 @@
 use bytes::BytesMut;
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
 
 /// Interval at which the server checks whether it was killed.
@@ -54,10 +55,11 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
-    /// Value of the query parameter `name`, not decoded; empty when it is missing.
-    pub fn query_parameter(&self, name: &str) -> &str {
+    /// Value of the query parameter `name`; empty when it is missing.
+    pub fn query_parameter(&self, name: &str) -> String {
         let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+        let value = pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value);
+        percent_decode_str(value).decode_utf8_lossy().into_owned()
     }
 
     /// Request body as JSON; null when it is not JSON.
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -462,6 +462,59 @@
     });
 }
 
+/// Entries of another writer: keys that mean something in a URL, and values that no upstream writes.
+fn odd_entries() -> Vec<(String, Vec<u8>)> {
+    let odd_keys =
+        [" ", "&", "#", "%", "%2", "+", "?a=b", "\u{e9}\u{1f40c}", "\"", "\\", "\n", "/"];
+    let sound = br#"{"service":"llm","address":"127.0.0.1:1","zone":"east"}"#.to_vec();
+    let mut entries: Vec<(String, Vec<u8>)> =
+        odd_keys.iter().map(|key| (format!("servers/i-1{key}"), sound.clone())).collect();
+    entries.push((format!("servers/{}", "k".repeat(190)), sound));
+    let with = |address: &str, more: &str| {
+        let text = format!(
+            "{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"east\",\
+             \"state\":\"ready\",\"slots\":4{more}}}"
+        );
+        text.into_bytes()
+    };
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    entries.push(("servers/i-nested".to_owned(), with("127.0.0.1:1", &format!(",\"x\":{nested}"))));
+    entries.push(("servers/i-large".to_owned(), with("127.0.0.1:1", ",\"born\":1e400")));
+    entries.push(("servers/i-port".to_owned(), with("127.0.0.1:99999", "")));
+    entries.push(("servers/i-bytes".to_owned(), vec![0xff; 1_000]));
+    entries.push(("servers/i-empty".to_owned(), Vec::new()));
+    entries
+}
+
+#[test]
+fn can_follow_the_registry_past_the_entries_of_another_writer() {
+    run(async {
+        let mut stack = ready_stack().await;
+        let before = stack.hosts.len();
+        for (key, value) in odd_entries() {
+            stack.store.put(&key, &value);
+        }
+        // Each key is the last one of a page once, from which the next page is read.
+        for page_items in [1, 2, 3] {
+            stack.store.set_page_items(page_items);
+            stack.add_host(&format!("east-page-{page_items}"));
+        }
+        stack.configure(7, json!([]));
+        for host in 0..stack.hosts.len() {
+            let calls = stack.store.calls();
+            let started = Instant::now();
+            let served = stack
+                .wait_until(Duration::from_secs(10), async |stack| {
+                    ask(stack, host, "m0", "odd").await.status == 200
+                })
+                .await;
+            assert!(served, "host {host} of {before} before does not serve");
+            let rate = (stack.store.calls() - calls) / (started.elapsed().as_secs() + 1);
+            assert!(rate < 300, "{rate} calls to the store a second");
+        }
+    });
+}
+
 #[test]
 fn can_resume_watching_after_the_store_stopped_answering() {
     run(async {
