--- a/components/decisions/src/routing/tracker.rs
+++ b/components/decisions/src/routing/tracker.rs
@@ -128,8 +128,8 @@
         open: &[&UpstreamCandidate],
         affinity: u64,
     ) -> Option<UpstreamKey> {
-        let total: u32 = open.iter().map(|candidate| self.expected_load(now, candidate.key)).sum();
-        let average = f64::from(total) / open.len() as f64;
+        let loads = open.iter().map(|candidate| self.expected_load(now, candidate.key));
+        let average = loads.map(f64::from).sum::<f64>() / open.len() as f64;
         let bound = average * AFFINITY_LOAD_RATIO + AFFINITY_LOAD_SLACK;
         let weight = |candidate: &&&UpstreamCandidate| {
             xxh3_64_with_seed(&candidate.name_hash.to_le_bytes(), affinity)
