--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -108,6 +108,8 @@
     /// Only requests with a number divisible by this one succeed; all if 0.
     succeeding: usize,
     leaving: LeavingAnswers,
+    /// Version of the engine's software.
+    software: String,
     /// Part of a prompt that crashes the engine when it begins to answer; none if empty.
     crash_part: String,
     /// When the engine crashed.
@@ -127,7 +129,8 @@
     /// Creates an engine with `models` resident; loading another one takes `load_time`.
     pub fn new(name: &str, models: &[&str], load_time: Duration) -> Self {
         let resident = models.iter().map(|model| ((*model).to_owned(), BTreeSet::new())).collect();
-        let state = EngineState { resident, ..EngineState::default() };
+        let software = "v1".to_owned();
+        let state = EngineState { resident, software, ..EngineState::default() };
         Self { name: name.to_owned(), load_time, state: Arc::new(Mutex::new(state)) }
     }
 
@@ -135,6 +138,7 @@
     #[must_use]
     pub fn replacement(&self, name: &str) -> Self {
         let engine = Self::new(name, &[], self.load_time);
+        engine.set_software(&self.software());
         engine.crash_on_part(&self.lock().crash_part.clone());
         engine
     }
@@ -213,6 +217,16 @@
         self.lock().leaving = answers;
     }
 
+    /// Changes the version of the engine's software in its entry.
+    pub fn set_software(&self, version: &str) {
+        version.clone_into(&mut self.lock().software);
+    }
+
+    /// Version of the engine's software.
+    pub fn software(&self) -> String {
+        self.lock().software.clone()
+    }
+
     /// Crashes when it begins to answer a request with this part in its prompt.
     pub fn crash_on_part(&self, part: &str) {
         part.clone_into(&mut self.lock().crash_part);
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -126,17 +126,31 @@
 
     /// Writes the store entry of every engine and service instance.
     pub fn register(&self) {
-        let names = self.engines.iter().map(|engine| (engine.name(), "llm", engine.models()));
-        let services = self.services.iter().map(|service| (service.name(), "app", json!([])));
-        for ((name, service, models), server) in names.chain(services).zip(&self.servers) {
+        let engines = self.engines.iter();
+        let engines =
+            engines.map(|engine| (engine.name(), "llm", engine.software(), engine.models()));
+        let services = self.services.iter();
+        let services = services.map(|service| (service.name(), "app", "v1".to_owned(), json!([])));
+        for ((name, service, version, models), server) in engines.chain(services).zip(&self.servers)
+        {
             let entry = json!({
                 "service": service, "address": server.address().to_string(), "zone": "east",
-                "slots": 64, "state": "ready", "models": models, "sequence": 1, "born": 1
+                "version": version, "slots": 64, "state": "ready", "models": models,
+                "sequence": 1, "born": 1
             });
             self.store.put(&format!("servers/{name}"), entry.to_string().as_bytes());
         }
     }
 
+    /// Starts another engine with these models resident. Its entry is written by [`Self::register`].
+    pub fn add_engine(&mut self, models: &[&str]) -> FleetEngine {
+        let number = self.engines.len();
+        let engine = FleetEngine::new(&format!("i-engine-{number}"), models, self.spec.load_time);
+        self.servers.insert(number, engine.start());
+        self.engines.push(engine.clone());
+        engine
+    }
+
     /// Starts another engine in place of each one that crashed `downtime` ago or earlier. It has
     /// another name, the same fault and no models. Returns the engines that were replaced.
     pub fn replace_crashed_engines(&mut self, downtime: Duration) -> Vec<FleetEngine> {
