Keep streams at the software version that began them

What callers saw, by the report of another operator and by five tests here: while engines of two software versions served, a stream that broke off went on at the other version, with nothing in the answer to show it, within one answer and when its caller took it up, after a kill of all hosts and without one.

Cause: nothing read an engine's software version, and a request that took a stream up was sent to any engine like a new one.

Change: a request is bound to the version of the engine that sent its first part. One that takes a stream up is bound to the version that began it, as this host knows, as other hosts tell, or because only one has served by a record in the key-value service; else it is refused at once, as not run.

--- a/components/decisions/src/admission/mod.rs
+++ b/components/decisions/src/admission/mod.rs
@@ -8,3 +8,4 @@
 pub use queue::queue_key;
 pub use record::RequestRecord;
 pub use record::RequestStage;
+pub use record::SoftwareBinding;
--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -1,6 +1,7 @@
 //! State of an open request.
 
 use wagtailledge_inventory::UpstreamKey;
+use wagtailledge_inventory::catalog::SoftwareVersion;
 
 use crate::ledger::LedgerClaim;
 use crate::request::RecordedAnswer;
@@ -23,6 +24,18 @@
     Streaming(UpstreamKey),
 }
 
+/// Which upstreams may get a request, by the version of their software.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum SoftwareBinding {
+    /// Any.
+    #[default]
+    Free,
+    /// None yet: other hosts are asked which version began the stream that it takes up.
+    Asking,
+    /// Only those with the version that began its stream.
+    Bound(SoftwareVersion),
+}
+
 /// State of a request between its arrival and its end.
 #[derive(Debug, Clone)]
 pub struct RequestRecord {
@@ -59,6 +72,8 @@
     pub tried: Vec<UpstreamKey>,
     /// Last failure that an upstream answered with. The caller gets it if no retry succeeds.
     pub failure: Option<Box<RecordedAnswer>>,
+    /// Which upstreams may get it, by the version of their software.
+    pub binding: SoftwareBinding,
     /// When the first part of the answer of its latest dispatch arrived.
     pub first_part: Option<Moment>,
     /// Whether its wait for a permit was compared with its deadline since the leader knows of it.
@@ -82,6 +97,11 @@
         self.is_idempotent() && self.runs < allowed
     }
 
+    /// Whether it waits for an upstream.
+    pub fn is_waiting(&self) -> bool {
+        self.stage == RequestStage::Waiting
+    }
+
     /// Upstream that the request was sent to and that has not finished it; `None` if there is none.
     pub fn upstream(&self) -> Option<UpstreamKey> {
         match self.stage {
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -34,6 +34,9 @@
     Limit,
     /// A host is granted permits for requests to a limited upstream.
     Permit,
+    /// It becomes known which software version a stream must be continued by, or that versions of a
+    /// service's software change.
+    Software,
     /// A prompt part is quarantined because it crashes upstreams, or its quarantine ends.
     Quarantine,
     /// The entry of an upstream in the platform's registry appears, changes its process or state, or
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -66,6 +66,9 @@
     pub address: String,
     /// Requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; empty if its entry does not say it.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software: String,
     /// Whether it accepts new work.
     pub state: ListedState,
     /// Time until it is removed; `None` while no removal is planned.
@@ -189,6 +192,11 @@
     /// The key-value service's watch delivered the quarantine record: its version and value. The
     /// value is empty if there is none.
     Quarantine(u64, String),
+    /// The key-value service's watch delivered the record of software versions: its version and value.
+    /// The value is empty if there is none.
+    SoftwareRecord(u64, String),
+    /// Everything that was in the key-value service at this moment has been delivered.
+    StoreSeen(Moment),
     /// The platform delivered its complete configuration, with its revision.
     Inventory(u64, ItemMap),
     /// The key-value service's watch delivered the lease record of this host's scope: its version
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -53,10 +53,23 @@
     }
 
     /// Records that the first part of the answer of an attempt arrived.
-    pub(super) fn attempt_advanced(&mut self, now: Moment, key: RequestKey, attempt: u32) {
+    pub(super) fn attempt_advanced(
+        &mut self,
+        now: Moment,
+        key: RequestKey,
+        attempt: u32,
+        effects: &mut Vec<HostEffect>,
+    ) {
         let request = self.requests.get_mut(key);
-        if let Some(request) = request.filter(|request| request.attempts == attempt) {
-            request.first_part.get_or_insert(now);
+        let Some(request) = request.filter(|request| request.attempts == attempt) else {
+            return;
+        };
+        let Some(upstream) = request.upstream() else {
+            return;
+        };
+        if request.first_part.is_none() {
+            request.first_part = Some(now);
+            self.bind_begun(now, key, upstream, effects);
         }
     }
 
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -4,6 +4,7 @@
 
 use crate::admission::RequestRecord;
 use crate::admission::RequestStage;
+use crate::admission::SoftwareBinding;
 use crate::effect::DecisionKind;
 use crate::effect::DecisionRecord;
 use crate::effect::HostEffect;
@@ -76,6 +77,7 @@
             runs: 0,
             tried: Vec::new(),
             failure: None,
+            binding: SoftwareBinding::Free,
             first_part: None,
             permit_checked: false,
         };
@@ -83,6 +85,7 @@
         let key = self.requests.insert(record);
         self.tickets.insert(request.ticket, key);
         self.deadlines.insert((deadline, key));
+        self.bind_taken_up(now, key, effects);
         if keyed {
             self.write_claim(key, 0, effects);
         } else {
@@ -132,6 +135,9 @@
 
     /// Reason to refuse a waiting request now because no replica can serve it in time.
     fn unservable_reason(&self, now: Moment, key: RequestKey) -> Option<RefusalReason> {
+        if let Some(reason) = self.software_fault(key) {
+            return Some(reason);
+        }
         let request = &self.requests[key];
         if self.is_permit_late(now, key) {
             return Some(RefusalReason::UpstreamLimit);
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -98,15 +98,24 @@
             may_retry
                 || self.requests.get(head.request).is_some_and(|request| request.attempts == 0)
         };
-        let Some(head) = self.queue.waiting_for(target).find(may_dispatch) else {
+        let is_open = |candidate: &UpstreamCandidate| self.tracker.is_open(now, candidate);
+        if !candidates.iter().any(is_open) {
+            return false;
+        }
+        let with_upstream = |head: WaitKey| {
+            let allowed = self.allowed_candidates(head.request, &candidates);
+            allowed.iter().any(is_open).then_some((head, allowed))
+        };
+        let head = self.queue.waiting_for(target).filter(may_dispatch).find_map(with_upstream);
+        let Some((head, allowed)) = head else {
             return false;
         };
-        let Some(upstream) = self.choose_upstream(now, head.request, &candidates) else {
+        let Some(upstream) = self.choose_upstream(now, head.request, &allowed) else {
             return false;
         };
         self.queue.remove(target, head);
         self.limits.record_spared(now, &blocked);
-        self.dispatch(now, head.request, upstream, candidates.len(), effects);
+        self.dispatch(now, head.request, upstream, allowed.len(), effects);
         true
     }
 
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod limits;
 mod names;
+mod origins;
 mod peer_leaders;
 mod peer_sync;
 mod permits;
@@ -14,8 +15,10 @@
 mod refusals;
 mod registry;
 mod scope;
+mod software;
 mod state;
 mod status;
+mod stored_record;
 mod usage;
 
 pub use names::RouteMatch;
--- a/components/decisions/src/host/names.rs
+++ b/components/decisions/src/host/names.rs
@@ -26,7 +26,7 @@
     pub repeat: RequestRepeat,
     /// Longest time from arrival to the final answer.
     pub timeout: Duration,
-    /// Settings of the route; `prompt` is left empty.
+    /// Settings of the route, without what the request itself says.
     pub terms: RouteTerms,
 }
 
@@ -96,6 +96,8 @@
             resumable: route.resumable,
             sticky: route.sticky,
             prompt: PromptShape::default(),
+            stream_id: None,
+            resumes: None,
         };
         RouteResolution::Found(Box::new(RouteMatch {
             target,
--- a/components/decisions/src/host/quarantine.rs
+++ b/components/decisions/src/host/quarantine.rs
@@ -23,28 +23,12 @@
 use crate::request::RefusalOutcome;
 use crate::request::RefusalReason;
 use crate::request::RequestKey;
-use crate::store::StoreOp;
 use crate::store::StoreOutcome;
 use crate::time::Moment;
 
 use super::crashes::crash_row;
 use super::state::HostReducer;
-
-/// Time until the record is read or written again after a call without an answer.
-const RECORD_RETRY: Duration = Duration::from_secs(1);
-
-/// What is known of the quarantine record in the key-value service.
-#[derive(Debug, Clone, Default)]
-struct RecordSync {
-    /// Its version, 0 if there is none; `None` before it was read.
-    version: Option<u64>,
-    /// Parts of the rules in it.
-    stored: BTreeSet<BTreeSet<u64>>,
-    /// Parts of the rules in the value that is being written.
-    written: BTreeSet<BTreeSet<u64>>,
-    call_in_flight: bool,
-    next_call: Moment,
-}
+use super::stored_record::StoredRecord;
 
 /// Quarantine as this host knows it.
 #[derive(Debug, Clone, Default)]
@@ -57,7 +41,8 @@
     decide_at: Option<Moment>,
     /// Rules that the leader's last notice did not list.
     unlisted: BTreeSet<BTreeSet<u64>>,
-    record: RecordSync,
+    /// The record in the key-value service; compared by the parts of its rules.
+    record: StoredRecord<BTreeSet<BTreeSet<u64>>>,
 }
 
 /// Effect that logs a change of a rule, which is named by its parts.
@@ -403,29 +388,27 @@
 
     /// Reads the record if this host leads and does not know it, and writes it if its rules changed.
     fn sync_record(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
-        let record = &mut self.quarantine.record;
-        if self.quarantine.judge.is_none() || record.call_in_flight || now < record.next_call {
+        let quarantine = &mut self.quarantine;
+        if quarantine.judge.is_none() || !quarantine.record.may_call(now) {
             return;
         }
-        let key = QUARANTINE_KEY.to_owned();
-        let Some(expected) = record.version else {
+        if quarantine.record.known().is_none() {
             // A platform that announces changes announces this record, too.
             if self.timing.configuration_read.is_some() {
-                record.call_in_flight = true;
-                let read = StoreOp::Read { key };
+                let read = quarantine.record.read(QUARANTINE_KEY);
                 self.store_calls.call(CallPurpose::QuarantineRead, read, effects);
             }
             return;
+        }
+        let names = quarantine.rules.names();
+        let rules = &quarantine.rules;
+        let value = |_: &_| {
+            let rules = rules.iter().map(|rule| rule_row(now, rule)).collect();
+            QuarantineRecord { rules }.to_value()
         };
-        if self.quarantine.rules.names() == record.stored {
-            return;
+        if let Some(write) = quarantine.record.write(QUARANTINE_KEY, names, value) {
+            self.store_calls.call(CallPurpose::QuarantineWrite, write, effects);
         }
-        let rules = self.quarantine.rules.iter().map(|rule| rule_row(now, rule));
-        let value = QuarantineRecord { rules: rules.collect() }.to_value();
-        record.call_in_flight = true;
-        record.written = self.quarantine.rules.names();
-        let write = StoreOp::CompareAndSwap { key, expected, value, ttl: None };
-        self.store_calls.call(CallPurpose::QuarantineWrite, write, effects);
     }
 
     /// Handles the reply to reading or writing the record.
@@ -435,20 +418,8 @@
         outcome: StoreOutcome,
         effects: &mut Vec<HostEffect>,
     ) {
-        let record = &mut self.quarantine.record;
-        record.call_in_flight = false;
-        match outcome {
-            StoreOutcome::Done { version } => {
-                record.version = Some(version);
-                record.stored = std::mem::take(&mut record.written);
-            }
-            StoreOutcome::Found { version, value } => {
-                // The store may have gone back to an older version.
-                record.version = None;
-                self.apply_record(now, version, &value, effects);
-            }
-            StoreOutcome::Absent => self.apply_record(now, 0, "", effects),
-            StoreOutcome::Failed => record.next_call = now.after(RECORD_RETRY),
+        if let Some((version, value)) = self.quarantine.record.apply_reply(now, outcome) {
+            self.apply_record(now, version, &value, effects);
         }
     }
 
@@ -460,13 +431,10 @@
         value: &str,
         effects: &mut Vec<HostEffect>,
     ) {
-        let known = self.quarantine.record.version;
-        if version != 0 && known.is_some_and(|known| known >= version) {
+        let record = QuarantineRecord::parse(value).unwrap_or_default();
+        if !self.quarantine.record.observe(version, record.names()) {
             return;
         }
-        let record = QuarantineRecord::parse(value).unwrap_or_default();
-        self.quarantine.record.version = Some(version);
-        self.quarantine.record.stored = record.names();
         let mut changed = false;
         for row in &record.rules {
             let rule = row_rule(now, row);
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -87,6 +87,8 @@
         RefusalReason::CallerLimit => "too many requests of this caller",
         RefusalReason::UpstreamLimit => "limits of its upstreams are used up",
         RefusalReason::Quarantined => "its prompt crashes upstreams",
+        RefusalReason::UnknownOrigin => "the software version of its stream is not known",
+        RefusalReason::NoSuchSoftware => "no upstream with the software version of its stream",
         RefusalReason::UpstreamsPaused => "its upstreams asked for pauses",
         RefusalReason::NoCapacity => "no engine has room",
         RefusalReason::UpstreamFailed => "upstream failed",
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -4,6 +4,7 @@
 
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::UpstreamRecord;
+use wagtailledge_inventory::catalog::SoftwareVersion;
 use wagtailledge_inventory::catalog::UNDATED;
 use wagtailledge_inventory::catalog::UpstreamKind;
 
@@ -184,6 +185,12 @@
             Some(pool) => UpstreamKind::Engine { checks_tokens: pool.checks_tokens },
             None => UpstreamKind::Service,
         };
+        let started_ms = upstream.started_ms;
+        let known = self.catalog.process_named(&upstream.name, started_ms);
+        // A process keeps its software.
+        let software = known.and_then(|key| self.catalog.upstreams.get(key));
+        let software = software.map(|record| record.software.clone());
+        let stated = || SoftwareVersion::new(&upstream.software);
         let record = UpstreamRecord {
             name: upstream.name.clone(),
             zone: upstream.zone.clone(),
@@ -193,10 +200,9 @@
             slots: upstream.slots,
             kind,
             service: Some(service),
+            software: software.filter(|version| !version.name().is_empty()).unwrap_or_else(stated),
             registered: true,
         };
-        let started_ms = upstream.started_ms;
-        let known = self.catalog.process_named(&upstream.name, started_ms);
         let Some(key) = self.catalog.register_upstream(record, started_ms) else {
             return;
         };
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -51,9 +51,11 @@
 use super::calls::CallLedger;
 use super::crashes::CrashObserver;
 use super::limits::HostLimits;
+use super::origins::StreamOrigins;
 use super::peer_leaders::PeerLeader;
 use super::peer_sync::PeerSync;
 use super::quarantine::HostQuarantine;
+use super::software::HostSoftware;
 use super::usage::UsageCounts;
 
 /// Gap between two events, ticks included, after which the process counts as having been frozen.
@@ -87,6 +89,8 @@
     pub(super) limits: HostLimits,
     pub(super) crashes: CrashObserver,
     pub(super) quarantine: HostQuarantine,
+    pub(super) software: HostSoftware,
+    pub(super) origins: StreamOrigins,
     /// All open requests, settled ones included.
     pub(super) requests: SlotMap<RequestKey, RequestRecord>,
     /// Keys of the open requests by the ticket that the frontend gave them.
@@ -174,6 +178,8 @@
             limits: HostLimits::new(now, table_seed),
             crashes: CrashObserver::default(),
             quarantine: HostQuarantine::default(),
+            software: HostSoftware::default(),
+            origins: StreamOrigins::default(),
             requests: SlotMap::with_key(),
             tickets: HashMap::new(),
             queue: WaitingQueue::default(),
@@ -240,7 +246,7 @@
                 self.attempt_started(request, attempt, effects);
             }
             HostEvent::AttemptAdvanced(request, attempt) => {
-                self.attempt_advanced(now, request, attempt);
+                self.attempt_advanced(now, request, attempt, effects);
             }
             HostEvent::AttemptEnded(request, attempt, outcome) => {
                 self.attempt_ended(now, request, attempt, outcome, effects);
@@ -271,6 +277,10 @@
             HostEvent::Quarantine(version, value) => {
                 self.apply_record(now, version, &value, effects);
             }
+            HostEvent::SoftwareRecord(version, value) => {
+                self.apply_software_record(now, version, &value, effects);
+            }
+            HostEvent::StoreSeen(at) => self.store_seen(now, at),
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, effects);
@@ -338,6 +348,8 @@
         self.plan(now, effects);
         self.limit_tick(now, effects);
         self.quarantine_tick(now, effects);
+        self.origins_tick(now, effects);
+        self.software_tick(now, effects);
         self.dispatch_all_waiting(now, effects);
         self.send_notices(now, effects);
         if now >= self.next_sweep {
@@ -400,6 +412,11 @@
                     self.configuration_changed(now, effects);
                 }
             }
+            PeerMessage::StreamOrigins(rows) => self.record_origins(now, &rows),
+            PeerMessage::OriginQuery(stream) => self.answer_origin_query(from, stream, effects),
+            PeerMessage::OriginReply(stream, version) => {
+                self.apply_origin_reply(now, &from, stream, version.as_deref(), effects);
+            }
             PeerMessage::LedgerQuery { key, claim } => {
                 self.answer_ledger_query(from, key, claim, effects);
             }
@@ -445,6 +462,7 @@
             }
             CallPurpose::LedgerOutcome(key) => self.handle_outcome_reply(now, &key, &outcome),
             CallPurpose::LedgerDelete => {}
+            CallPurpose::SoftwareWrite => self.handle_software_reply(now, outcome, effects),
             CallPurpose::QuarantineRead | CallPurpose::QuarantineWrite => {
                 self.handle_record_reply(now, outcome, effects);
             }
@@ -551,6 +569,7 @@
         self.report_recent_usage(now);
         self.limit_leadership_changed(now, held_epoch.is_some(), effects);
         self.quarantine_leadership_changed(now, held_epoch.is_some());
+        self.software_leadership_changed(now);
         if let Some(epoch) = held_epoch {
             let last_message = now;
             self.leader = Some(LeaderContact { identity: self.me.clone(), epoch, last_message });
--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`admission`]: open requests and the queue of waiting requests.
 //! - [`routing`]: replicas of all scopes; load and health of upstreams.
 //! - [`quarantine`]: prompt parts that crash upstreams.
+//! - [`software`]: software versions of upstreams, and which one began a stream.
 //! - [`limits`]: limits that upstreams set on the requests of all hosts together.
 //! - [`retry`]: retry budget of a host.
 //! - [`ledger`]: records that prevent a non-idempotent call from running twice.
@@ -42,6 +43,7 @@
 pub mod request;
 pub mod retry;
 pub mod routing;
+pub mod software;
 pub mod store;
 pub mod table;
 pub mod time;
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -412,6 +412,10 @@
     pub crash_report: CrashReport,
 }
 
+/// Which software version began a stream: the stream's id, and the name of the version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginRow(pub u64, pub String);
+
 /// Message between entry hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -486,6 +490,12 @@
         /// Added, changed and removed items.
         changes: Vec<ConfigurationChange>,
     },
+    /// Tells a host which software versions began streams, for the case that the sender dies.
+    StreamOrigins(Vec<OriginRow>),
+    /// Asks which software version began the stream with this id.
+    OriginQuery(u64),
+    /// Replies to a query: the id, and the name of the version; `None` if it is not known.
+    OriginReply(u64, Option<String>),
     /// Queries the holder of a ledger claim for the outcome of its call.
     #[serde(rename = "LedgerAsk")]
     LedgerQuery {
--- a/components/decisions/src/registry.rs
+++ b/components/decisions/src/registry.rs
@@ -40,6 +40,8 @@
     QuarantineRead,
     /// Writes the quarantine record.
     QuarantineWrite,
+    /// Writes the record of software versions.
+    SoftwareWrite,
     /// Reads the head of the configuration.
     ConfigurationHead,
     /// Reads the configuration shard with this key.
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -69,6 +69,16 @@
     }
 }
 
+/// Stream of another request that a request takes up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Hash of the id of the request that brought its first event; `None` if the caller does not name
+    /// one.
+    pub first: Option<u64>,
+    /// Number of the last event that the caller received; `None` if that is no number.
+    pub after: Option<u64>,
+}
+
 /// Settings of the route that a request matched.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteTerms {
@@ -86,6 +96,18 @@
     pub sticky: bool,
     /// Size and parts of the prompt.
     pub prompt: PromptShape,
+    /// Hash of the request's id, by which a later request may take its stream up; `None` if it has no
+    /// id.
+    pub stream_id: Option<u64>,
+    /// Stream that the request takes up; `None` if it begins one.
+    pub resumes: Option<ResumedStream>,
+}
+
+impl RouteTerms {
+    /// Id under which the stream of the request is known: that of the request that began it.
+    pub fn origin_id(&self) -> Option<u64> {
+        self.resumes.map_or(self.stream_id, |resumed| resumed.first)
+    }
 }
 
 /// Request as received from the frontend.
@@ -135,6 +157,10 @@
     UpstreamLimit,
     /// Its prompt has a part that crashes upstreams.
     Quarantined,
+    /// It takes up a stream, and it is not known which software version began that.
+    UnknownOrigin,
+    /// It belongs to a stream that no upstream with its software version can continue.
+    NoSuchSoftware,
     /// The upstreams that could serve the request asked for pauses beyond the deadline.
     UpstreamsPaused,
     /// No engine has capacity for a replica within the caps on replicas.
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -38,6 +38,9 @@
     /// Interval between two reads of the configuration's head; `None` when the platform announces
     /// new revisions.
     pub configuration_read: Option<Duration>,
+    /// Time within which changes in the key-value service reach every host that can read it; `None` when
+    /// the platform does not announce them.
+    pub change_bound: Option<Duration>,
     /// Time before its deadline at which a waiting request is refused.
     pub refusal_lead: Duration,
     /// Limits on the retries of all hosts together.
@@ -62,6 +65,7 @@
             retire_grace: Duration::from_millis(300),
             eviction_idle: Duration::from_secs(5),
             configuration_read: Some(Duration::from_secs(1)),
+            change_bound: None,
             refusal_lead: Duration::from_millis(40),
             retries: RetryRules::default(),
         }
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -87,6 +87,7 @@
         zone: "east".to_owned(),
         scope: "east".to_owned(),
         address: "127.0.0.1:9002".to_owned(),
+        software: "v1".to_owned(),
         slots: 6,
         state,
         remaining: None,
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -416,6 +416,7 @@
         scope: "east".to_owned(),
         zone: "east".to_owned(),
         address: address.to_owned(),
+        software: "v1".to_owned(),
         slots: 64,
         started_ms: 1,
         state: ListedState::Live,
--- a/components/decisions/tests/quarantine.rs
+++ b/components/decisions/tests/quarantine.rs
@@ -142,6 +142,8 @@
             input: 300,
             output: 50,
         },
+        stream_id: None,
+        resumes: None,
     }
 }
 
--- a/components/decisions/tests/retries.rs
+++ b/components/decisions/tests/retries.rs
@@ -113,6 +113,8 @@
         resumable: true,
         sticky: false,
         prompt: PromptShape::default(),
+        stream_id: None,
+        resumes: None,
     };
     let service = host.reducer.catalog().services.keys().next().unwrap();
     let target = RequestTarget::Service(service);
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -60,6 +60,11 @@
     pub fn before_election(inventory: &str, service: &str) -> Self {
         let mut host = TestHost::with_inventory(inventory);
         host.submit(engine_entry_of(service, 1));
+        Self::of_host(host)
+    }
+
+    /// Creates a leader from a host before its first tick.
+    pub fn of_host(host: TestHost) -> Self {
         Self {
             host,
             store: BTreeMap::new(),
@@ -217,6 +222,7 @@
         scope: "east".to_owned(),
         zone: "east".to_owned(),
         address: "127.0.0.1:9001".to_owned(),
+        software: "v1".to_owned(),
         slots: 64,
         started_ms: 1,
         state: ListedState::Live,
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -107,8 +107,13 @@
 impl TestHost {
     /// Creates a host with an inventory in force and all its upstreams in the host list.
     pub fn with_inventory(inventory: &str) -> Self {
+        Self::with_timing(inventory, TimingRules::default())
+    }
+
+    /// Like [`Self::with_inventory`], with other timing rules.
+    pub fn with_timing(inventory: &str, timing: TimingRules) -> Self {
         let now = Moment(1_000_000_000);
-        let reducer = HostReducer::new(now, identity("east-1"), TimingRules::default(), 1);
+        let reducer = HostReducer::new(now, identity("east-1"), timing, 1);
         let mut host = Self { reducer, now, effects: Vec::new(), last_ticket: 0 };
         let items = to_items(&parse_inventory("test", inventory).unwrap());
         host.receive(PeerMessage::ConfigurationOffer {
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -61,7 +61,7 @@
     pub pending: Option<PendingStream>,
     /// Passes the parts of the stream to the frontend. Dropping it truncates the caller's answer.
     pub sender: Option<PartSender>,
-    /// Number of the last stream event forwarded, after which another upstream would resume.
+    /// Number of the last stream event that the caller has, after which another upstream would resume.
     pub last_event: Option<u64>,
 }
 
@@ -83,6 +83,7 @@
         self.last_ticket += 1;
         let ticket = RequestTicket(self.last_ticket);
         let (responder, reply) = oneshot::channel();
+        let last_event = call.resumes.and_then(|resumed| resumed.after);
         let live = LiveCall {
             call,
             deadline,
@@ -91,7 +92,7 @@
             attempt: None,
             pending: None,
             sender: None,
-            last_event: None,
+            last_event,
         };
         self.calls.insert(ticket, live);
         (ticket, reply)
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -82,6 +82,8 @@
                     RouteResolution::Found(found) => {
                         let RouteMatch { target, repeat, timeout, mut terms } = *found;
                         terms.prompt = std::mem::take(&mut call.prompt);
+                        terms.stream_id = (!call.request_id.is_empty()).then_some(call.caller);
+                        terms.resumes = call.resumes;
                         let allowed = deadline.map_or(timeout, |deadline| deadline.min(timeout));
                         let time_left = allowed.saturating_sub(call.arrived.elapsed());
                         let (deadline, terms) = (Some(time_left), Some(terms));
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -53,6 +53,7 @@
         DecisionKind::Limit => "limit",
         DecisionKind::Permit => "permit",
         DecisionKind::Quarantine => "quarantine",
+        DecisionKind::Software => "software",
         DecisionKind::Register => "register",
     }
 }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 23] = [
+pub const METRIC_NAMES: [&str; 24] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -25,6 +25,7 @@
     "decision.limit",
     "decision.permit",
     "decision.quarantine",
+    "decision.software",
     "decision.register",
     "request.time",
     "request.waiting",
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -168,6 +168,7 @@
         if settings.platform.protocol == PlatformProtocol::Store {
             // The store announces each configuration, so none is polled.
             timing.configuration_read = None;
+            timing.change_bound = Some(settings.platform.change_bound());
         }
         timing.check().map_err(StartError::Timing)?;
         let seal = MessageSeal::new(&settings.security.shared_secret);
--- a/components/entry/tests/departures.rs
+++ b/components/entry/tests/departures.rs
@@ -180,6 +180,7 @@
         arrived: Instant::now(),
         deadline: None,
         prompt: PromptShape::default(),
+        resumes: None,
         idempotency_key: None,
         caller: 1,
     }
--- a/components/frontend/src/gate.rs
+++ b/components/frontend/src/gate.rs
@@ -16,6 +16,7 @@
 use wagtailledge_decisions::request::CallerRefusal;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::request::RecordedAnswer;
+use wagtailledge_decisions::request::ResumedStream;
 
 /// Target of a call, as the caller names it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,6 +63,8 @@
     pub deadline: Option<Duration>,
     /// Prompt parts and token counts that the caller declares; empty if it declares none.
     pub prompt: PromptShape,
+    /// Stream that the call takes up; `None` if it begins one.
+    pub resumes: Option<ResumedStream>,
     /// Value of the header `Idempotency-Key`.
     pub idempotency_key: Option<String>,
     /// Hash that identifies the caller. The completion API hashes the `Authorization` header or,
--- a/components/frontend/src/parse.rs
+++ b/components/frontend/src/parse.rs
@@ -88,6 +88,7 @@
         arrived: Instant::now(),
         deadline: read_deadline(head.headers())?,
         prompt: PromptShape::default(),
+        resumes: None,
         idempotency_key: visible_text(head.headers(), IDEMPOTENCY_KEY_HEADER)?,
         caller: caller_hash(head),
     })
--- a/components/frontend/src/relay/dialect.rs
+++ b/components/frontend/src/relay/dialect.rs
@@ -8,6 +8,7 @@
 use hyper::http::request;
 use wagtailledge_decisions::request::CallerRefusal;
 use wagtailledge_decisions::request::PromptShape;
+use wagtailledge_decisions::request::ResumedStream;
 
 /// Values read from the head of a request.
 #[derive(Debug, Clone)]
@@ -22,6 +23,8 @@
     pub asset: Option<String>,
     /// Prompt parts and token counts that the caller declares; empty if it declares none.
     pub prompt: PromptShape,
+    /// Stream that the request takes up; `None` if it begins one.
+    pub resumes: Option<ResumedStream>,
     /// Headers to send to the upstream.
     pub headers: HeaderMap,
 }
--- a/components/frontend/src/relay/handle.rs
+++ b/components/frontend/src/relay/handle.rs
@@ -131,6 +131,11 @@
     Ok(response)
 }
 
+/// Hash by which a request is known to all hosts.
+pub fn request_hash(id: &[u8]) -> u64 {
+    xxh3_64(id)
+}
+
 fn caller_call(
     head: &request::Parts,
     relay_head: RelayHead,
@@ -139,7 +144,7 @@
 ) -> CallerCall {
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     CallerCall {
-        caller: xxh3_64(relay_head.request_id.as_bytes()),
+        caller: request_hash(relay_head.request_id.as_bytes()),
         request_id: relay_head.request_id,
         target: CallTarget::Route { host: relay_head.host, asset: relay_head.asset },
         method: head.method.clone(),
@@ -149,6 +154,7 @@
         arrived,
         deadline: relay_head.deadline,
         prompt: relay_head.prompt,
+        resumes: relay_head.resumes,
         idempotency_key: None,
     }
 }
--- a/components/frontend/src/relay/mod.rs
+++ b/components/frontend/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub use dialect::IngressDialect;
 pub use dialect::RelayFault;
 pub use dialect::RelayHead;
+pub use handle::request_hash;
 pub use readiness::readiness_source;
 pub use server::RelayServer;
 pub use text::TextServer;
--- a/components/fuzzer/src/world/streams.rs
+++ b/components/fuzzer/src/world/streams.rs
@@ -58,6 +58,8 @@
         resumable: true,
         sticky: false,
         prompt: PromptShape::default(),
+        stream_id: None,
+        resumes: None,
     })
 }
 
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -27,6 +27,7 @@
 pub use records::PoolRecord;
 pub use records::ServiceKey;
 pub use records::ServiceRecord;
+pub use records::SoftwareVersion;
 pub use records::UNDATED;
 pub use records::UpstreamKey;
 pub use records::UpstreamKind;
@@ -415,6 +416,7 @@
                 slots: engine.slots,
                 kind: UpstreamKind::Engine { checks_tokens: engine.checks_tokens },
                 service: engine.service.as_deref().and_then(|name| self.service_named(name)),
+                software: SoftwareVersion::default(),
                 registered: false,
             });
         }
@@ -430,6 +432,7 @@
                     slots: instance.slots,
                     kind: UpstreamKind::Service,
                     service: key,
+                    software: SoftwareVersion::default(),
                     registered: false,
                 });
             }
--- a/components/inventory/src/catalog/records.rs
+++ b/components/inventory/src/catalog/records.rs
@@ -71,6 +71,22 @@
     pub started_ms: u64,
 }
 
+/// Version of an upstream's software. It has no order: two versions are the same or not.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// The version with this name; an empty name if upstreams do not say theirs.
+    pub fn new(name: &str) -> Self {
+        Self(name.to_owned())
+    }
+
+    /// Name of the version.
+    pub fn name(&self) -> &str {
+        &self.0
+    }
+}
+
 /// An engine or an instance of a plain service.
 #[derive(Debug, Clone)]
 pub struct UpstreamRecord {
@@ -90,6 +106,8 @@
     pub kind: UpstreamKind,
     /// Service of an instance, or pool of an engine; `None` for an engine without a pool.
     pub service: Option<ServiceKey>,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Whether it registered itself with the platform instead of being declared in the inventory.
     pub registered: bool,
 }
