Review case 1: a removed model makes all hosts deny every request

A request for a model that the configuration no longer has comes back from its engine as not run; looking up its load time panics, and the host handles no event after that.

--- a/review/rig/engine.rs
+++ b/review/rig/engine.rs
@@ -47,6 +47,8 @@
     pub on_disk: Vec<String>,
     /// Age of the state that a report describes.
     pub report_lag: Duration,
+    /// Time until a request has its first token; before, it has not started.
+    pub first_token: Duration,
 }
 
 #[derive(Default)]
@@ -387,20 +389,31 @@
         let target = request.header("x-model");
         let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
         let run = (model.to_owned(), adapter.to_owned());
-        let refusal = self.with(|state| {
-            let adapters = state.held.get(model);
-            let is_held =
-                adapters.is_some_and(|names| adapter.is_empty() || names.contains(adapter));
-            if !is_held {
-                return Some(421);
-            }
-            if state.unloading.as_deref() == Some(model) || state.leaving.contains(&run) {
-                return Some(503);
+        self.record.line(&format!("{}: request {id} for {target} arrives", self.spec.name));
+        let arrived = Instant::now();
+        let refusal = loop {
+            let is_due = arrived.elapsed() >= self.spec.first_token;
+            let refusal = self.with(|state| {
+                let adapters = state.held.get(model);
+                let is_held =
+                    adapters.is_some_and(|names| adapter.is_empty() || names.contains(adapter));
+                if state.unloading.as_deref() == Some(model) || state.leaving.contains(&run) {
+                    return Some(503);
+                }
+                if !is_held {
+                    return Some(if arrived.elapsed() < NOTE_INTERVAL { 421 } else { 503 });
+                }
+                if is_due {
+                    state.runs.insert(id.clone(), run.clone());
+                    state.ran.push(id.clone());
+                }
+                None
+            });
+            if is_due || refusal.is_some() {
+                break refusal;
             }
-            state.runs.insert(id.clone(), run.clone());
-            state.ran.push(id.clone());
-            None
-        });
+            std::thread::sleep(Duration::from_millis(2));
+        };
         let name = &self.spec.name;
         if let Some(status) = refusal {
             self.record.line(&format!("{name}: request {id} for {target} -> {status}, not run"));
--- a/review/rig/lapse.rs
+++ b/review/rig/lapse.rs
@@ -91,6 +91,7 @@
             load_time: Duration::from_millis(840),
             on_disk: on_disk.iter().map(|name| (*name).to_owned()).collect(),
             report_lag: Duration::from_millis(300),
+            first_token: Duration::ZERO,
         };
         Engine::start(spec, held, &store, record)
     };
--- a/review/rig/limit.rs
+++ b/review/rig/limit.rs
@@ -110,6 +110,7 @@
         load_time: Duration::from_secs(2),
         on_disk: vec!["house".to_owned(), "rare".to_owned()],
         report_lag: Duration::from_millis(100),
+        first_token: Duration::ZERO,
     };
     let engine = Engine::start(spec, &["house"], &store, record).map_err(failed)?;
     let hosts = start_hosts(&["edge-dothan-1", "edge-dothan-2"], &address, setup)?;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod engine;
+mod hang;
 mod host;
 mod lapse;
 mod limit;
@@ -45,6 +46,7 @@
                 record: record.clone(),
             };
             let result = match case.as_str() {
+                "hang" => hang::run(&setup),
                 "lapse" => lapse::run(&setup),
                 "limit" => limit::run(&setup),
                 "memory" => memory::run(&setup),
--- a/review/rig/memory.rs
+++ b/review/rig/memory.rs
@@ -81,6 +81,7 @@
         load_time: Duration::from_secs(6),
         on_disk: Vec::new(),
         report_lag: Duration::from_millis(100),
+        first_token: Duration::ZERO,
     };
     let _engine = Engine::start(spec, &[], &store, record).map_err(failed)?;
     // A sound instance of the plain service: it answers every request after its work.
--- a/review/rig/recover.rs
+++ b/review/rig/recover.rs
@@ -103,6 +103,7 @@
             load_time: Duration::from_millis(840),
             on_disk: on_disk.clone(),
             report_lag: Duration::from_millis(100),
+            first_token: Duration::ZERO,
         };
         engines.push(Engine::start(spec, &[held], &store, record).map_err(failed)?);
     }
