--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 folder=$(pwd)
 root=$(cd ../.. && pwd)
 [ -x "$root/target/review/rig" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$root/target/review/rig" memory "$root" "$folder"
+exec "$root/target/review/rig" handover "$root" "$folder"
--- a/review/rig/host.rs
+++ b/review/rig/host.rs
@@ -212,14 +212,22 @@
         child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
-    /// Resident memory in bytes.
-    pub fn memory(&self) -> u64 {
+    /// Asks the process to end, with SIGTERM.
+    pub fn terminate(&self) {
         let child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
-        let id = child.as_ref().map_or(0, Child::id);
-        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
-        kilobytes.unwrap_or(0) * 1_024
+        if let Some(child) = child.as_ref() {
+            let _ = Command::new("kill").arg(child.id().to_string()).status();
+        }
+    }
+
+    /// Starts the program again once its process has ended, or kills it after `grace`.
+    pub fn start_again(&self, grace: Duration, root: &str) -> Result<(), String> {
+        let started = Instant::now();
+        while self.is_running() && started.elapsed() < grace {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+        self.start(root)
     }
 
     /// Ends the process with SIGKILL.
--- a/review/rig/lapse.rs
+++ b/review/rig/lapse.rs
@@ -17,9 +17,9 @@
 use crate::store::Store;
 
 /// Memory of each engine.
-const ENGINE_MB: u64 = 100_000;
+pub const ENGINE_MB: u64 = 100_000;
 /// Sizes of the models.
-const MODELS: [(&str, u64); 7] = [
+pub const MODELS: [(&str, u64); 7] = [
     ("often", 30_000),
     ("small", 25_000),
     ("other", 44_000),
@@ -31,14 +31,14 @@
 /// Length of an outage; the longest of the site's troubles with leases that run out is 4.5 s.
 const OUTAGE: Duration = Duration::from_millis(4_500);
 /// Time for which a client waits for the model `other`; that of `flock-digest` on the sheet.
-const SHORT_WAIT: Duration = Duration::from_secs(5);
+pub const SHORT_WAIT: Duration = Duration::from_secs(5);
 /// When the rare models are asked for.
 const BEFORE_END: Duration = Duration::from_millis(300);
 const AFTER_END: Duration = Duration::from_millis(150);
 /// Number of outages.
 const ROUNDS: usize = 9;
 
-fn configuration() -> String {
+pub fn configuration() -> String {
     let route = "{\"name\":\"triage\",\"host\":\"farm.example\",\"prefix\":\"/triage/\",\
                  \"routeKind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":500,\"priority\":0,\
                  \"service\":\"vent-llm\",\"attempts\":1,\"sticky\":true,\"resumable\":false,\"gapTargetMs\":400}";
@@ -59,7 +59,7 @@
 }
 
 /// Asks for a model again and again, so that it is never idle.
-fn keep_asking(host: &str, model: &'static str, ends: &Arc<AtomicBool>, setup: &Setup) {
+pub fn keep_asking(host: &str, model: &'static str, ends: &Arc<AtomicBool>, setup: &Setup) {
     let (host, ends, record) = (host.to_owned(), Arc::clone(ends), setup.record.quiet());
     std::thread::spawn(move || {
         let mut number = 0;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,11 +2,11 @@
 
 mod base;
 mod engine;
+mod handover;
 mod hang;
 mod host;
 mod lapse;
 mod limit;
-mod memory;
 mod recover;
 mod store;
 
@@ -46,10 +46,10 @@
                 record: record.clone(),
             };
             let result = match case.as_str() {
+                "handover" => handover::run(&setup),
                 "hang" => hang::run(&setup),
                 "lapse" => lapse::run(&setup),
                 "limit" => limit::run(&setup),
-                "memory" => memory::run(&setup),
                 "recover" => recover::run(&setup),
                 other => Err(format!("no such case: {other}")),
             };
