--- a/review/rig/host.rs
+++ b/review/rig/host.rs
@@ -216,7 +216,7 @@
     pub fn terminate(&self) {
         let child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(child) = child.as_ref() {
-            let _ = Command::new("kill").arg(child.id().to_string()).status();
+            let _ = Command::new("sh").arg("-c").arg(format!("kill {}", child.id())).status();
         }
     }
 
--- a/review/rig/lapse.rs
+++ b/review/rig/lapse.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::base::Finding;
 use crate::base::Setup;
@@ -35,8 +36,9 @@
 /// When the rare models are asked for.
 const BEFORE_END: Duration = Duration::from_millis(300);
 const AFTER_END: Duration = Duration::from_millis(150);
-/// Number of outages.
+/// Number of outages at most, and the time after which no further one begins.
 const ROUNDS: usize = 9;
+const LAST_ROUND: Duration = Duration::from_secs(90);
 
 pub fn configuration() -> String {
     let route = "{\"name\":\"triage\",\"host\":\"farm.example\",\"prefix\":\"/triage/\",\
@@ -74,6 +76,7 @@
 pub fn run(setup: &Setup) -> Finding {
     let record = &setup.record;
     let failed = |error: std::io::Error| error.to_string();
+    let begun = Instant::now();
     let store = Store::default();
     let address = store.start().map_err(failed)?.to_string();
     store.put("op/config", &configuration());
@@ -109,6 +112,9 @@
     }
     std::thread::sleep(Duration::from_secs(6));
     for round in 0..ROUNDS {
+        if begun.elapsed() > LAST_ROUND {
+            break;
+        }
         if setup.trouble {
             record.line("the store goes down");
             store.set_down(true);
