--- a/review/rig/handover.rs
+++ b/review/rig/handover.rs
@@ -1,6 +1,5 @@
 //! The leader is stopped for planned work while rare models are asked for.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -10,22 +9,21 @@
 use crate::base::Finding;
 use crate::base::Setup;
 use crate::engine::Engine;
-use crate::engine::EngineSpec;
 use crate::host::Host;
 use crate::host::start_hosts;
-use crate::lapse::ENGINE_MB;
-use crate::lapse::MODELS;
 use crate::lapse::SHORT_WAIT;
 use crate::lapse::configuration;
 use crate::lapse::keep_asking;
+use crate::lapse::start_engine;
 use crate::limit::LONG_WAIT;
 use crate::limit::ask;
 use crate::store::Store;
 
 /// `graceS` of the sheet.
 const GRACE: Duration = Duration::from_secs(8);
-/// Time from the request for a rare model to the stop. A plan is made every 0.5 s.
-const BEFORE_STOP: Duration = Duration::from_millis(450);
+/// Time from the request for a rare model to the stop, in the rounds in turn. A plan is made every
+/// 0.5 s.
+const BEFORE_STOP_MS: [u64; 4] = [450, 350, 250, 150];
 /// Number of stops at most, and the time after which no further one begins.
 const ROUNDS: usize = 14;
 const LAST_ROUND: Duration = Duration::from_secs(90);
@@ -45,27 +43,15 @@
     let store = Store::default();
     let address = store.start().map_err(failed)?.to_string();
     store.put("op/config", &configuration());
-    let models: BTreeMap<String, (u64, u64)> =
-        MODELS.iter().map(|(name, mb)| ((*name).to_owned(), (*mb, 66))).collect();
-    let start = |name: &str, held: &[&str], on_disk: &[&str]| {
-        let spec = EngineSpec {
-            name: name.to_owned(),
-            service: "vent-llm".to_owned(),
-            zone: "dothan".to_owned(),
-            slots: 64,
-            weights_mb: ENGINE_MB,
-            adapter_slots: 8,
-            models: models.clone(),
-            load_time: Duration::from_millis(840),
-            on_disk: on_disk.iter().map(|name| (*name).to_owned()).collect(),
-            report_lag: Duration::from_millis(300),
-            first_token: Duration::ZERO,
-        };
-        Engine::start(spec, held, &store, record)
-    };
     let engines = [
-        start("i-1", &["full-1"], &["full-1"]).map_err(failed)?,
-        start("i-2", &["often", "small"], &["often", "small", "other", "large"]).map_err(failed)?,
+        start_engine("i-1", &["full-1"], &["full-1"], &store, record)?,
+        start_engine(
+            "i-2",
+            &["often", "small"],
+            &["often", "small", "other", "large"],
+            &store,
+            record,
+        )?,
     ];
     let hosts = start_hosts(&HOSTS, &address, setup)?;
     std::thread::sleep(Duration::from_secs(5));
@@ -82,7 +68,7 @@
         }
         std::thread::sleep(Duration::from_millis(800));
         let large = ask(&callers, &format!("large-{round}"), "large", 8, LONG_WAIT, record);
-        std::thread::sleep(BEFORE_STOP);
+        std::thread::sleep(Duration::from_millis(BEFORE_STOP_MS[round % BEFORE_STOP_MS.len()]));
         if setup.trouble {
             record.line(&format!("{} gets SIGTERM", HOSTS[leads]));
             hosts[leads].terminate();
--- a/review/rig/lapse.rs
+++ b/review/rig/lapse.rs
@@ -1,6 +1,5 @@
 //! The store is down until the engines' entries lapse, while rare models are asked for.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -8,6 +7,7 @@
 use std::time::Instant;
 
 use crate::base::Finding;
+use crate::base::Record;
 use crate::base::Setup;
 use crate::engine::Engine;
 use crate::engine::EngineSpec;
@@ -18,9 +18,9 @@
 use crate::store::Store;
 
 /// Memory of each engine.
-pub const ENGINE_MB: u64 = 100_000;
+const ENGINE_MB: u64 = 100_000;
 /// Sizes of the models.
-pub const MODELS: [(&str, u64); 7] = [
+const MODELS: [(&str, u64); 7] = [
     ("often", 30_000),
     ("small", 25_000),
     ("other", 44_000),
@@ -33,8 +33,9 @@
 const OUTAGE: Duration = Duration::from_millis(4_500);
 /// Time for which a client waits for the model `other`; that of `flock-digest` on the sheet.
 pub const SHORT_WAIT: Duration = Duration::from_secs(5);
-/// When the rare models are asked for.
-const BEFORE_END: Duration = Duration::from_millis(300);
+/// Time from the request for the first rare model to the end of the outage, in the rounds in turn.
+const BEFORE_END_MS: [u64; 4] = [300, 200, 100, 0];
+/// Time from the end of the outage to the request for the second one.
 const AFTER_END: Duration = Duration::from_millis(150);
 /// Number of outages at most, and the time after which no further one begins.
 const ROUNDS: usize = 9;
@@ -73,6 +74,30 @@
     });
 }
 
+/// Starts an engine with these models in memory and on its disk.
+pub fn start_engine(
+    name: &str,
+    held: &[&str],
+    on_disk: &[&str],
+    store: &Store,
+    record: &Record,
+) -> Result<Engine, String> {
+    let spec = EngineSpec {
+        name: name.to_owned(),
+        service: "vent-llm".to_owned(),
+        zone: "dothan".to_owned(),
+        slots: 64,
+        weights_mb: ENGINE_MB,
+        adapter_slots: 8,
+        models: MODELS.iter().map(|(name, mb)| ((*name).to_owned(), (*mb, 66))).collect(),
+        load_time: Duration::from_millis(840),
+        on_disk: on_disk.iter().map(|name| (*name).to_owned()).collect(),
+        report_lag: Duration::from_millis(300),
+        first_token: Duration::ZERO,
+    };
+    Engine::start(spec, held, store, record).map_err(|error| error.to_string())
+}
+
 pub fn run(setup: &Setup) -> Finding {
     let record = &setup.record;
     let failed = |error: std::io::Error| error.to_string();
@@ -80,29 +105,17 @@
     let store = Store::default();
     let address = store.start().map_err(failed)?.to_string();
     store.put("op/config", &configuration());
-    let models: BTreeMap<String, (u64, u64)> =
-        MODELS.iter().map(|(name, mb)| ((*name).to_owned(), (*mb, 66))).collect();
-    let start = |name: &str, held: &[&str], on_disk: &[&str]| {
-        let spec = EngineSpec {
-            name: name.to_owned(),
-            service: "vent-llm".to_owned(),
-            zone: "dothan".to_owned(),
-            slots: 64,
-            weights_mb: ENGINE_MB,
-            adapter_slots: 8,
-            models: models.clone(),
-            load_time: Duration::from_millis(840),
-            on_disk: on_disk.iter().map(|name| (*name).to_owned()).collect(),
-            report_lag: Duration::from_millis(300),
-            first_token: Duration::ZERO,
-        };
-        Engine::start(spec, held, &store, record)
-    };
     let engines = [
-        start("i-1", &["full-1"], &["full-1"]).map_err(failed)?,
-        start("i-2", &["full-2"], &["full-2"]).map_err(failed)?,
-        start("i-3", &["full-3"], &["full-3"]).map_err(failed)?,
-        start("i-4", &["often", "small"], &["often", "small", "other", "large"]).map_err(failed)?,
+        start_engine("i-1", &["full-1"], &["full-1"], &store, record)?,
+        start_engine("i-2", &["full-2"], &["full-2"], &store, record)?,
+        start_engine("i-3", &["full-3"], &["full-3"], &store, record)?,
+        start_engine(
+            "i-4",
+            &["often", "small"],
+            &["often", "small", "other", "large"],
+            &store,
+            record,
+        )?,
     ];
     let hosts = start_hosts(&["edge-dothan-1", "edge-dothan-2"], &address, setup)?;
     let callers = hosts[0].callers.clone();
@@ -120,9 +133,10 @@
             store.set_down(true);
         }
         // A rare model is asked for around the end of the outage, and soon after it another one.
-        std::thread::sleep(OUTAGE - BEFORE_END);
+        let before_end = Duration::from_millis(BEFORE_END_MS[round % BEFORE_END_MS.len()]);
+        std::thread::sleep(OUTAGE - before_end);
         let large = ask(&callers, &format!("large-{round}"), "large", 8, LONG_WAIT, record);
-        std::thread::sleep(BEFORE_END);
+        std::thread::sleep(before_end);
         if setup.trouble {
             record.line("the store is back");
             store.set_down(false);
