Refuse requests that return after their model was removed

Cause: a request that comes back as not run is queued again by the key of its asset. `refuse_removed` refuses only what waits at the moment of the edit, so the returned request was looked up by a key without a record, and `min_load_time` panicked ("invalid SlotMap key used").

Change: a request whose target has left the configuration is refused when it is queued, as not run if no attempt may have run it. The same class was looked for at every index by a key that may outlive a configuration: `min_load_time` (also for the base of an adapter), the dispatch, `add_base`, retired replicas, and rows of removed assets, which leaders no longer publish. A cap of 0 can't panic `scale_out`.

--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -105,7 +105,8 @@
         }
     }
 
-    /// Queues a request and dispatches it if possible; refuses it if it cannot be served in time.
+    /// Queues a request and dispatches it if possible; refuses it if it cannot be served in time or
+    /// if its target was removed while it was sent to an upstream.
     pub(super) fn enqueue(&mut self, now: Moment, key: RequestKey, effects: &mut Vec<HostEffect>) {
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -114,6 +115,10 @@
         let target = request.target;
         let wait_key = queue_key(key, request);
         self.queue.push(target, wait_key);
+        if self.rank_and_deadline(target).is_none() {
+            self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Removed, effects);
+            return;
+        }
         if self.quarantine_rule(now, key).is_some() {
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Quarantined, effects);
             return;
@@ -364,7 +369,7 @@
     }
 
     /// Unique name of the asset or service; empty if it was removed.
-    fn target_name(&self, target: RequestTarget) -> String {
+    pub(super) fn target_name(&self, target: RequestTarget) -> String {
         match target {
             RequestTarget::Asset(asset) => self
                 .catalog
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -225,22 +225,23 @@
         self.tracker.record_dispatch(upstream);
         self.limits.record_dispatch(now, upstream);
         *self.running.entry(target).or_default() += 1;
-        let (subject, asset) = match target {
+        let subject = self.target_name(target);
+        let asset = match target {
             RequestTarget::Asset(asset) => {
                 self.unreported_usage.entry(asset).or_default();
                 if self.replica_backoffs.is_probing(asset, upstream) {
                     self.replica_probes.insert((asset, upstream));
                 }
-                let name = self.catalog.assets[asset].name.clone();
-                (name.clone(), name)
+                subject.clone()
             }
-            RequestTarget::Service(key) => (self.catalog.services[key].name.clone(), String::new()),
+            RequestTarget::Service(_) => String::new(),
         };
+        let chosen = self.catalog.upstreams.get(upstream);
         effects.push(HostEffect::LogDecision(DecisionRecord {
             kind: DecisionKind::Route,
             ticket: Some(ticket),
             subject,
-            choice: self.catalog.upstreams[upstream].name.clone(),
+            choice: chosen.map_or_else(String::new, |record| record.name.clone()),
             reason: if attempt == 1 { "least expected load" } else { "retry" },
             alternatives: candidate_count.saturating_sub(1),
             inputs: String::new(),
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -23,13 +23,16 @@
 impl HostReducer {
     /// Shortest time in which a replica of an asset that is not resident anywhere can be ready.
     pub(super) fn min_load_time(&self, asset: AssetKey) -> Duration {
-        let record = &self.catalog.assets[asset];
-        let model = match record.base {
-            Some(base) if !self.view.ready(base).is_empty() => return Duration::ZERO,
-            Some(base) => &self.catalog.assets[base],
-            None => record,
-        };
-        let known = [model.loads.memory.0, model.loads.disk.0, model.loads.store.0];
+        let record = self.catalog.assets.get(asset);
+        let base = record.and_then(|record| record.base);
+        if base.is_some_and(|base| !self.view.ready(base).is_empty()) {
+            return Duration::ZERO;
+        }
+        // The asset or its base may have been removed from the configuration.
+        let model = base.map_or(record, |base| self.catalog.assets.get(base));
+        let known = model.map_or_else(Vec::new, |model| {
+            vec![model.loads.memory.0, model.loads.disk.0, model.loads.store.0]
+        });
         let shortest = known.into_iter().filter(|span| !span.is_zero()).min();
         shortest.unwrap_or_else(|| match &self.placement {
             Some(placement) => placement.expected_load(&self.catalog) / 2,
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -237,10 +237,12 @@
     /// Loads the base of an adapter on one more engine, because the engines with the base have no
     /// room for the adapter.
     fn add_base(&mut self, context: &mut PlacementContext<'_>, adapter: AssetKey) {
-        let Some(base) = context.catalog.assets[adapter].base else {
+        let assets = &context.catalog.assets;
+        let base = assets.get(adapter).and_then(|record| record.base);
+        let Some((base, record)) = base.and_then(|base| Some((base, assets.get(base)?))) else {
             return;
         };
-        if self.count_possible_replicas(base) >= usize::from(context.catalog.assets[base].cap) {
+        if self.count_possible_replicas(base) >= usize::from(record.cap) {
             return;
         }
         match self.choose_place(context, base, true, 0.0) {
@@ -437,7 +439,10 @@
             }
         }
         for (asset, upstream) in due {
-            let name = context.catalog.assets[asset].name.clone();
+            let Some(record) = context.catalog.assets.get(asset) else {
+                continue;
+            };
+            let name = record.name.clone();
             if self.send_order(context, upstream, Some(asset), OrderKind::Unload { asset: name })
                 && let Some(replica) = self.engines[upstream].replicas.get_mut(&asset)
             {
--- a/components/decisions/src/placement/scaling.rs
+++ b/components/decisions/src/placement/scaling.rs
@@ -27,7 +27,7 @@
             }
             let active = self.survey.active_replicas(asset);
             let share = self.survey.engine_share(record.service, asset) * MAX_ENGINE_FRACTION;
-            let desired = (share.round() as usize).clamp(1, usize::from(record.cap));
+            let desired = (share.round() as usize).min(usize::from(record.cap)).max(1);
             if active > 0 && active < desired {
                 below_target.push((self.survey.work(asset) / active as f64, asset, active));
             }
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -279,7 +279,10 @@
                 context.view.put_own(asset, upstream, None);
             }
         }
-        let assets: Vec<AssetKey> = engine.replicas.keys().copied().collect();
+        // Replicas of removed assets count for memory only.
+        let assets =
+            engine.replicas.keys().filter(|key| context.catalog.assets.contains_key(**key));
+        let assets: Vec<AssetKey> = assets.copied().collect();
         for asset in assets {
             let state = engine.published_state(asset, accepts && !engine.is_unresponsive());
             context.view.put_own(asset, upstream, state);
--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -17,8 +17,10 @@
 
 use super::event_queue::ScheduledEvent;
 use super::inventory::ASSETS;
+use super::inventory::FULL_EDIT;
 use super::inventory::ZONES;
 use super::inventory::build_inventory;
+use super::inventory::build_reduced_inventory;
 use super::state::FuzzWorld;
 
 /// Unit of freezes and deadlines in scripts, in milliseconds.
@@ -235,7 +237,8 @@
         if self.faults.store_down {
             return;
         }
-        let items = to_items(&build_inventory(variant));
+        let build = if self.removes_items { build_reduced_inventory } else { build_inventory };
+        let items = to_items(&build(variant));
         let shards = split_shards(&items);
         for (index, (hash, text)) in shards.iter().enumerate() {
             let key = shard_key(index, *hash);
@@ -273,6 +276,9 @@
             engine.leaving_since = None;
             engine.limit.set(self.now, None);
         }
+        if self.removes_items {
+            self.edit(FULL_EDIT);
+        }
         self.advance(SETTLE_TIME);
         for slot in 0..self.slots.len() {
             self.start(slot);
--- a/components/fuzzer/src/world/inventory.rs
+++ b/components/fuzzer/src/world/inventory.rs
@@ -25,6 +25,8 @@
 pub const ASSETS: [&str; 6] = ["m0", "m1", "m2", "m3", "a0", "a1"];
 /// Memory of each engine, in bytes.
 pub const ENGINE_MEMORY: u64 = 100;
+/// Edit that removes nothing.
+pub const FULL_EDIT: u8 = 1;
 /// Name of the only plain service.
 pub const SERVICE: &str = "app";
 
@@ -102,3 +104,20 @@
         routes: Vec::new(),
     }
 }
+
+/// The same inventory without the models, adapters and the service that the high bits of `edit`
+/// select.
+pub fn build_reduced_inventory(edit: u8) -> InventoryDocument {
+    let mut document = build_inventory(edit);
+    let removes = |bit: u8| edit & (1 << bit) != 0;
+    for (bit, model, adapter) in [(3, "m0", "a0"), (4, "m2", "a1")] {
+        document.models.retain(|entry| !removes(bit) || entry.name != model);
+        document.adapters.retain(|entry| !removes(bit) || entry.name != adapter);
+    }
+    document.models.retain(|entry| !removes(5) || entry.name != "m3");
+    document.adapters.retain(|entry| !removes(6) || entry.name != "a1");
+    if removes(7) {
+        document.services.clear();
+    }
+    document
+}
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -18,6 +18,7 @@
 use super::event_queue::ScheduledEvent;
 use super::inventory::ENGINE_MEMORY;
 use super::inventory::ENGINES_PER_ZONE;
+use super::inventory::FULL_EDIT;
 use super::inventory::HOSTS_PER_ZONE;
 use super::inventory::ZONES;
 use super::inventory::build_inventory;
@@ -114,6 +115,8 @@
     pub retries: RetryLog,
     /// Last committed configuration revision.
     pub(super) revision: u64,
+    /// Whether edits remove models, adapters and the service, and bring them back.
+    pub(super) removes_items: bool,
     /// Maximum number of replicas in a zone, by the unique name of the asset.
     pub(super) replica_caps: BTreeMap<String, usize>,
 }
@@ -157,6 +160,7 @@
             streams: StreamTable::new(),
             retries: RetryLog::default(),
             revision: 0,
+            removes_items: seed % 8 == 5,
             replica_caps: BTreeMap::new(),
         };
         for engine in build_inventory(1).engines {
@@ -180,7 +184,7 @@
                 });
             }
         }
-        world.edit(1);
+        world.edit(FULL_EDIT);
         for slot in 0..world.slots.len() {
             world.start(slot);
         }
