End a host that can't decide any more

Cause: a panic unwinds the task in which an event is processed and leaves the mark `is_reducing` set, so that all later events are queued and none is processed. Readiness reads the reducer's last state.

Change: a panic in the reducer or in an effect fails the host: no further event is processed, it is not ready, new calls are refused as not run, and the process ends with exit code 1, which its platform takes as a reason to start it again. A call without a reply ends as possibly run. Panics are written to the log with their place.

--- a/components/decisions/tests/removed_items.rs
+++ b/components/decisions/tests/removed_items.rs
@@ -70,37 +70,54 @@
     }
 }
 
-/// Inventory with a pool of two models and an adapter, and a plain service, each of which is there
-/// only if its bit of `items` is set.
+/// Items of an inventory, each with the bits of those that it needs and its own.
+const ITEMS: [(u8, &str); 5] = [
+    (
+        0b1,
+        r#"
+[[service]]
+name = "llm"
+class = "alarm"
+[service.pool]
+memory = "80GiB"
+adapters = 2
+slots = 64
+tokens = 100000
+host_memory = "100GiB"
+disk = "100GiB"
+loads_per_minute = 120
+checks_tokens = true
+"#,
+    ),
+    (0b11, "[[model]]\nname = \"heat\"\nsize = \"50GiB\"\nclass = \"alarm\"\nservice = \"llm\"\n"),
+    (0b101, "[[model]]\nname = \"fan\"\nsize = \"50GiB\"\nclass = \"alarm\"\nservice = \"llm\"\n"),
+    (0b1011, "[[adapter]]\nname = \"barn\"\nbase = \"heat\"\nsize = \"1GiB\"\nclass = \"alarm\"\n"),
+    (
+        0b10000,
+        r#"
+[[service]]
+name = "vents"
+class = "alarm"
+idempotent = ["/"]
+[[service.instance]]
+name = "vents-1"
+zone = "east"
+address = "127.0.0.1:9002"
+slots = 2
+"#,
+    ),
+];
+/// Bits of all items.
+const ALL_ITEMS: u8 = 0b11111;
+/// What every inventory contains.
+const CLASSES: &str =
+    "[rules]\nkeep_alive = \"2s\"\n[[class]]\nname = \"alarm\"\nrank = 0\ndeadline = \"5s\"\n";
+
+/// Inventory with the items all of whose bits are set in `items`.
 fn pool_inventory(items: u8) -> String {
-    let has = |bit: u8| items & (1 << bit) != 0;
-    let mut text = String::from(
-        "[rules]\nkeep_alive = \"2s\"\n[[class]]\nname = \"alarm\"\nrank = 0\ndeadline = \"5s\"\n",
-    );
-    if has(0) {
-        text += "[[service]]\nname = \"llm\"\nclass = \"alarm\"\n[service.pool]\nmemory = \"80GiB\"\n\
-            adapters = 2\nslots = 64\ntokens = 100000\nhost_memory = \"100GiB\"\ndisk = \"100GiB\"\n\
-            loads_per_minute = 120\nchecks_tokens = true\n";
-    }
-    for (bit, model) in [(1, "heat"), (2, "fan")] {
-        if has(0) && has(bit) {
-            text += &format!(
-                "[[model]]\nname = \"{model}\"\nsize = \"50GiB\"\nclass = \"alarm\"\n\
-                service = \"llm\"\n[model.loads]\nstore = \"6s\"\ndisk = \"800ms\"\n\
-                memory = \"600ms\"\n"
-            );
-        }
-    }
-    if has(0) && has(1) && has(3) {
-        text +=
-            "[[adapter]]\nname = \"barn\"\nbase = \"heat\"\nsize = \"1GiB\"\nclass = \"alarm\"\n";
-    }
-    if has(4) {
-        text += "[[service]]\nname = \"vents\"\nclass = \"alarm\"\nidempotent = [\"/\"]\n\
-            [[service.instance]]\nname = \"vents-1\"\nzone = \"east\"\n\
-            address = \"127.0.0.1:9002\"\nslots = 2\n";
-    }
-    text
+    let kept = ITEMS.iter().filter(|(bits, _)| items & bits == *bits);
+    let texts = std::iter::once(CLASSES).chain(kept.map(|(_, text)| *text));
+    texts.collect()
 }
 
 /// One step of a random run.
@@ -215,7 +232,7 @@
     /// A host goes on deciding, and ends every request in time, whatever is removed or brought back
     /// while requests are waiting, sent or streamed, and while engines load.
     fn can_decide_while_items_are_removed_and_return(steps: Vec<RemovalStep>) -> bool {
-        let mut leader = TestLeader::with_engine(&pool_inventory(0b11111), "llm");
+        let mut leader = TestLeader::with_engine(&pool_inventory(ALL_ITEMS), "llm");
         let (mut revision, mut sequence) = (1, 0);
         let mut tickets = Vec::new();
         for step in steps {
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -9,7 +9,10 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::host::RouteMatch;
 use wagtailledge_decisions::host::RouteResolution;
+use wagtailledge_decisions::request::CallerRefusal;
 use wagtailledge_decisions::request::CallerRequest;
+use wagtailledge_decisions::request::RefusalOutcome;
+use wagtailledge_decisions::request::RefusalReason;
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTarget;
 use wagtailledge_decisions::request::RouteTerms;
@@ -24,6 +27,9 @@
 use crate::calls::RetryTerms;
 use crate::shell::EntryShell;
 
+/// Retry delay of callers refused by a host that has failed: other hosts can serve them at once.
+const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(50);
+
 /// The frontend's access to the runtime of this host.
 #[derive(Debug)]
 pub struct ShellGate {
@@ -105,8 +111,18 @@
     hash.digest()
 }
 
+/// Refusal of a call by a host that can't decide on it any more.
+fn host_ends(outcome: RefusalOutcome) -> CallerRefusal {
+    let reason = RefusalReason::HostEnds;
+    CallerRefusal { outcome, reason, retry_after: RETRY_AFTER_FAILURE }
+}
+
 impl CallerGate for ShellGate {
     fn serve(&self, mut call: CallerCall) -> LocalBoxFuture<'static, CallerReply> {
+        if self.shell.has_failed() {
+            let reply = CallerReply::Refusal(host_ends(RefusalOutcome::NotRun));
+            return futures::future::ready(reply).boxed_local();
+        }
         let resolved = match self.resolve(&mut call) {
             Ok(resolved) => resolved,
             Err(unresolved) => return futures::future::ready(unresolved.into()).boxed_local(),
@@ -130,8 +146,8 @@
             });
             let reply = reply.await;
             guard.disarm();
-            // The responder is dropped without a reply only when the whole runtime is dropped.
-            reply.unwrap_or(CallerReply::UnknownName)
+            // The responder is dropped without a reply only when this host ends or has failed.
+            reply.unwrap_or(CallerReply::Refusal(host_ends(RefusalOutcome::Unknown)))
         }
         .boxed_local()
     }
@@ -141,7 +157,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.shell.read(wagtailledge_decisions::HostReducer::is_ready)
+        !self.shell.has_failed() && self.shell.read(wagtailledge_decisions::HostReducer::is_ready)
     }
 
     fn is_draining(&self) -> bool {
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -241,6 +241,12 @@
         self.peers.address()
     }
 
+    /// Returns once this host can no longer decide anything. Its process must then end at once, so
+    /// that it is replaced.
+    pub async fn failure(&self) {
+        self.shell.failure().await;
+    }
+
     /// Drains this host: readiness fails and the lease is released at once, listening stops after
     /// the notice, and requests in progress are completed. Returns by the end of the grace, even if
     /// requests are still open then.
@@ -252,7 +258,13 @@
             sleep(grace.saturating_sub(REFUSAL_MARGIN)).await;
             shell.submit(HostEvent::DrainOver);
         });
-        if timeout(grace, self.finish_requests(drain.notice.0)).await.is_err() {
+        let finished = async {
+            tokio::select! {
+                () = self.finish_requests(drain.notice.0) => {}
+                () = self.failure() => {}
+            }
+        };
+        if timeout(grace, finished).await.is_err() {
             let status = self.shell.status();
             warn!(
                 "drain grace of {:?} over: ending with {} open requests, {} unrecorded outcomes",
@@ -344,11 +356,11 @@
     inbox: mpsc::Receiver<PeerTraffic>,
     sources: Vec<Box<dyn EventSource>>,
 ) {
-    actix_rt::spawn(tick_loop(Rc::clone(shell)));
-    actix_rt::spawn(inbox_loop(Rc::clone(shell), inbox));
-    actix_rt::spawn(sweep_loop(Rc::clone(shell), Rc::clone(frontend)));
+    shell.spawn_vital("ticks", tick_loop(Rc::clone(shell)));
+    shell.spawn_vital("messages of hosts", inbox_loop(Rc::clone(shell), inbox));
+    shell.spawn_vital("sweeps", sweep_loop(Rc::clone(shell), Rc::clone(frontend)));
     for source in sources {
-        actix_rt::spawn(source.run(Rc::clone(shell)));
+        shell.spawn_vital("events of the platform", source.run(Rc::clone(shell)));
     }
 }
 
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -5,12 +5,16 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use log::error;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
+use tokio::sync::Notify;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::HostIdentity;
 use wagtailledge_decisions::HostReducer;
@@ -63,6 +67,10 @@
     event_queue: RefCell<VecDeque<HostEvent>>,
     /// Set while a call of [`Self::submit`] further up the stack is processing the event queue.
     is_reducing: Cell<bool>,
+    /// Set for good when the code that decides or feeds it has panicked. Its state may be inconsistent
+    /// then, so no further event is processed.
+    has_failed: Cell<bool>,
+    failure: Notify,
     /// Time since the boot of the machine when this process started.
     started: Duration,
 }
@@ -93,6 +101,8 @@
             recently_used: RefCell::default(),
             event_queue: RefCell::default(),
             is_reducing: Cell::new(false),
+            has_failed: Cell::new(false),
+            failure: Notify::new(),
             started,
         })
     }
@@ -108,12 +118,23 @@
     }
 
     /// Passes an event to the reducer and executes the effects. Events submitted meanwhile are
-    /// queued, and processed before the outermost call returns.
+    /// queued, and processed before the outermost call returns. A panic in here fails this host.
     pub fn submit(self: &Rc<Self>, event: HostEvent) {
+        if self.has_failed() {
+            return;
+        }
         self.event_queue.borrow_mut().push_back(event);
         if self.is_reducing.replace(true) {
             return;
         }
+        let result = catch_unwind(AssertUnwindSafe(|| self.process_events()));
+        self.is_reducing.set(false);
+        if result.is_err() {
+            self.fail("the processing of an event panicked");
+        }
+    }
+
+    fn process_events(self: &Rc<Self>) {
         let mut effects = Vec::new();
         loop {
             let Some(event) = self.event_queue.borrow_mut().pop_front() else {
@@ -124,7 +145,41 @@
                 self.execute(effect);
             }
         }
-        self.is_reducing.set(false);
+    }
+
+    /// Records that this host can't go on, and why. It is not ready from then on.
+    fn fail(&self, cause: &str) {
+        if !self.has_failed.replace(true) {
+            error!(host = self.identity.name.as_str(); "this host can no longer serve: {cause}");
+            self.failure.notify_one();
+        }
+    }
+
+    /// Whether this host can no longer decide anything, so that its process must end.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed.get()
+    }
+
+    /// Returns once this host has failed. At most one task may wait for it.
+    pub async fn failure(&self) {
+        if !self.has_failed() {
+            self.failure.notified().await;
+        }
+    }
+
+    /// Runs a task without which this host can't serve; if it panics, the host fails.
+    pub(crate) fn spawn_vital(
+        self: &Rc<Self>,
+        name: &'static str,
+        task: impl Future<Output = ()> + 'static,
+    ) {
+        let task = actix_rt::spawn(task);
+        let shell = Rc::clone(self);
+        actix_rt::spawn(async move {
+            if task.await.is_err_and(|error| error.is_panic()) {
+                shell.fail(&format!("the task '{name}' panicked"));
+            }
+        });
     }
 
     /// Calls `read` with the reducer borrowed; `read` must not submit events.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -6,6 +6,7 @@
 
 use actix_rt::signal::unix::SignalKind;
 use actix_rt::signal::unix::signal;
+use log::error;
 use log::info;
 use log::warn;
 use wagtailledge_entry::EntryHost;
@@ -61,6 +62,7 @@
     )
     .target(env_logger::Target::Stdout)
     .init();
+    std::panic::set_hook(Box::new(|panic| error!("{panic}")));
     let settings = load_settings(path)?;
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let file = SettingsFile { path: path.to_owned(), settings, text };
@@ -83,6 +85,7 @@
         let signalled = tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            () = host.failure() => return Err(vec!["ended after a panic, see the log".to_owned()]),
             _ = hangup.recv() => true,
             () = actix_rt::time::sleep(SETTINGS_POLL_INTERVAL) => false,
         };
