Keep what an engine accepted while its entry is missing

Cause, first half: an engine whose entry is missing lost its replicas, its accepted loads and its count of orders. Its first report after the return is older than the last orders, and there was nothing left to see that by. Besides, the entries of one batch were applied one by one, so that the first returned entry with a report removed all engines whose entries came later in the same batch.

Change: the whole state of such an engine is kept with its process and goes on when the entry returns; nothing is ordered there before a report. Outcomes of orders are applied in the meantime. Published reports are applied after all entries of a batch have been registered, also once instead of once for each entry.

--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -70,6 +70,7 @@
     ) {
         self.dispatch_not_before = Moment::default();
         let mut logged = Vec::new();
+        let mut registered = Vec::new();
         for change in changes {
             if self.lacks_known_start(&change) {
                 let name = change.name().to_owned();
@@ -96,7 +97,8 @@
                         }
                         self.unregister_upstream(&upstream.name);
                     }
-                    self.register_upstream(now, &upstream, effects);
+                    let key = self.register_upstream(now, &upstream, effects);
+                    registered.extend(key.map(|key| (key, *upstream)));
                 }
                 RegistryChange::Absent(name, _) => {
                     self.unregister_upstream(&name);
@@ -105,6 +107,7 @@
                 }
             }
         }
+        self.apply_engine_reports(now, &registered, effects);
         log_entries(logged, effects);
         if self.decide_limits(now, effects) {
             self.limits_changed(now, effects);
@@ -170,16 +173,14 @@
         self.members.retain_leaving(|key| catalog.has_process(key));
     }
 
-    /// Adds or updates a registered upstream, unless its service is not configured.
+    /// Adds or updates a registered upstream, unless its service is not configured. Returns its key.
     fn register_upstream(
         &mut self,
         now: Moment,
         upstream: &RegisteredUpstream,
         effects: &mut Vec<HostEffect>,
-    ) {
-        let Some(service) = self.catalog.service_named(&upstream.service) else {
-            return;
-        };
+    ) -> Option<UpstreamKey> {
+        let service = self.catalog.service_named(&upstream.service)?;
         let pool = self.catalog.services[service].pool.as_ref();
         let kind = match pool {
             Some(pool) => UpstreamKind::Engine { checks_tokens: pool.checks_tokens },
@@ -203,9 +204,7 @@
             software: software.filter(|version| !version.name().is_empty()).unwrap_or_else(stated),
             registered: true,
         };
-        let Some(key) = self.catalog.register_upstream(record, started_ms) else {
-            return;
-        };
+        let key = self.catalog.register_upstream(record, started_ms)?;
         self.members.put_upstream(&upstream.name, Some(upstream.state));
         if upstream.state == ListedState::Leaving {
             // A heartbeat written late may say again that it stays.
@@ -214,8 +213,29 @@
         if known != Some(key) {
             self.inherit_limit(now, key, effects);
         }
-        if let Some(report) = &upstream.report {
-            self.apply_engine_report(now, key, upstream, report, effects);
+        Some(key)
+    }
+
+    /// Applies the published reports of upstreams after all of them have been registered, so that none
+    /// of them seems to be missing meanwhile.
+    fn apply_engine_reports(
+        &mut self,
+        now: Moment,
+        upstreams: &[(UpstreamKey, RegisteredUpstream)],
+        effects: &mut Vec<HostEffect>,
+    ) {
+        if upstreams.is_empty() {
+            return;
+        }
+        self.with_placement(now, effects, |placement, context| placement.update_engines(context));
+        for (key, upstream) in upstreams {
+            // Another entry of the same changes may have replaced its process.
+            if !self.catalog.upstreams.contains_key(*key) {
+                continue;
+            }
+            if let Some(report) = &upstream.report {
+                self.apply_engine_report(now, *key, upstream, report, effects);
+            }
         }
     }
 
@@ -231,7 +251,6 @@
     ) {
         if self.placement.is_some() && upstream.scope == self.me.scope {
             self.with_placement(now, effects, |placement, context| {
-                placement.update_engines(context);
                 placement.apply_registry_report(context, key, report);
             });
             return;
@@ -260,8 +279,11 @@
     pub(super) fn reapply_engine_reports(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         let upstreams: Vec<RegisteredUpstream> =
             self.registered_upstreams.present().cloned().collect();
+        let mut registered = Vec::new();
         for upstream in upstreams {
-            self.register_upstream(now, &upstream, effects);
+            let key = self.register_upstream(now, &upstream, effects);
+            registered.extend(key.map(|key| (key, upstream)));
         }
+        self.apply_engine_reports(now, &registered, effects);
     }
 }
--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -136,12 +136,11 @@
 }
 
 impl EngineState {
-    /// Reduces the state to what must be known if the engine returns: the orders that it may still
-    /// carry out. `None` if there are none, and none were lost in this term.
-    pub fn into_orders(self) -> Option<Self> {
-        let Self { open_order, fencing_term, uncertain_until, .. } = self;
-        let orders = Self { open_order, fencing_term, uncertain_until, ..Self::default() };
-        (orders.open_order.is_some() || fencing_term > 0).then_some(orders)
+    /// The state with which an engine goes on whose entry returned: what it accepted still holds, and
+    /// nothing is ordered there before its next report.
+    #[must_use]
+    pub fn returned(self, next_claim_at: Moment) -> Self {
+        Self { claimed: false, misses: 0, conflicts: 0, next_claim_at, ..self }
     }
 
     /// The state that a plan depends on: claimed, unresponsive, unknown assets, and replica phases.
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -83,7 +83,8 @@
         true
     }
 
-    /// Applies the outcome of an order. Outcomes of orders that are no longer open are ignored.
+    /// Applies the outcome of an order, also if the entry of its engine is missing by now. Outcomes of
+    /// orders that are no longer open are ignored.
     pub fn apply_outcome(
         &mut self,
         context: &mut PlacementContext<'_>,
@@ -93,8 +94,7 @@
         let Some(upstream) = self.orders.remove(key) else {
             return;
         };
-        let Some(engine) = self.engines.get_mut(upstream) else {
-            self.apply_to_departed(context, upstream, key, &outcome);
+        let Some(engine) = self.known_engine_mut(upstream) else {
             return;
         };
         let Some(open) = engine.open_order.take_if(|open| open.key == key) else {
@@ -105,7 +105,7 @@
             OrderOutcome::Accepted(report) | OrderOutcome::Refused(report) => {
                 let before = engine.plan_inputs();
                 self.apply_report(context, upstream, &report);
-                let after = self.engines.get(upstream).map(EngineState::plan_inputs);
+                let after = self.known_engine(upstream).map(EngineState::plan_inputs);
                 state_changed = open.asset.is_some() || after != Some(before);
             }
             OrderOutcome::Started => self.apply_started(context, upstream, &open),
@@ -135,23 +135,6 @@
         }
     }
 
-    /// Applies the outcome of an order to an engine whose entry is missing now.
-    fn apply_to_departed(
-        &mut self,
-        context: &PlacementContext<'_>,
-        upstream: UpstreamKey,
-        key: OrderKey,
-        outcome: &OrderOutcome,
-    ) {
-        let Some(engine) = self.departed.get_mut(upstream) else {
-            return;
-        };
-        let open = engine.open_order.take_if(|open| open.key == key);
-        if let (Some(open), OrderOutcome::Lost) = (open, outcome) {
-            Self::apply_lost(engine, context, upstream, open);
-        }
-    }
-
     /// The engine accepted the order and carries it out after all orders accepted before it.
     fn apply_started(
         &mut self,
@@ -164,7 +147,7 @@
         };
         let estimate = self.load_estimate(context, upstream, asset);
         let from_store = !self.has_copy(upstream, asset);
-        let Some(engine) = self.engines.get_mut(upstream) else {
+        let Some(engine) = self.known_engine_mut(upstream) else {
             return;
         };
         engine.record_answer(open);
@@ -216,7 +199,7 @@
         let Some(record) = context.catalog.assets.get(asset) else {
             return Duration::ZERO;
         };
-        let Some(engine) = self.engines.get(upstream) else {
+        let Some(engine) = self.known_engine(upstream) else {
             return Duration::ZERO;
         };
         if record.base.is_some() {
@@ -240,7 +223,7 @@
         upstream: UpstreamKey,
         open: &OpenOrder,
     ) {
-        let (Some(engine), Some(asset)) = (self.engines.get_mut(upstream), open.asset) else {
+        let (Some(engine), Some(asset)) = (self.known_engine_mut(upstream), open.asset) else {
             return;
         };
         engine.record_answer(open);
@@ -271,7 +254,7 @@
         upstream: UpstreamKey,
         open: &OpenOrder,
     ) {
-        let Some(engine) = self.engines.get_mut(upstream) else {
+        let Some(engine) = self.known_engine_mut(upstream) else {
             return;
         };
         engine.misses = 0;
@@ -327,7 +310,7 @@
         upstream: UpstreamKey,
         open: &OpenOrder,
     ) {
-        let Some(engine) = self.engines.get_mut(upstream) else {
+        let Some(engine) = self.known_engine_mut(upstream) else {
             return;
         };
         let Some(asset) = open.asset else {
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -320,7 +320,7 @@
 
     /// Whether the engine has a local copy of the weights and can load them without the store.
     pub(super) fn has_copy(&self, upstream: UpstreamKey, asset: AssetKey) -> bool {
-        self.engines.get(upstream).is_some_and(|engine| {
+        self.known_engine(upstream).is_some_and(|engine| {
             engine.copies.memory.contains(&asset) || engine.copies.disk.contains(&asset)
         })
     }
--- a/components/decisions/src/placement/reports.rs
+++ b/components/decisions/src/placement/reports.rs
@@ -38,7 +38,7 @@
         report: &EngineReport,
     ) {
         let interval = self.idle_interval(context);
-        let Some(engine) = self.engines.get_mut(upstream) else {
+        let Some(engine) = self.known_engine_mut(upstream) else {
             return;
         };
         engine.next_claim_at = Moment(u64::MAX);
--- a/components/decisions/src/placement/state.rs
+++ b/components/decisions/src/placement/state.rs
@@ -101,7 +101,7 @@
     /// When this leader's term began.
     pub(super) started: Moment,
     pub(super) engines: SecondaryMap<UpstreamKey, EngineState>,
-    /// Engines whose entries are missing, reduced to the orders that they may still carry out.
+    /// Engines whose entries are missing. What they accepted still holds if they return.
     pub(super) departed: SecondaryMap<UpstreamKey, EngineState>,
     /// Pending orders, at most one for each engine.
     pub(super) orders: SlotMap<OrderKey, UpstreamKey>,
@@ -209,8 +209,7 @@
         };
         let missing: Vec<UpstreamKey> = self.engines.keys().filter(|key| !exists(*key)).collect();
         for key in missing {
-            let orders = self.engines.remove(key).and_then(EngineState::into_orders);
-            if let Some(engine) = orders {
+            if let Some(engine) = self.engines.remove(key) {
                 self.departed.insert(key, engine);
             }
         }
@@ -220,13 +219,23 @@
             if exists(key) && !self.engines.contains_key(key) {
                 let next_claim_at = self.first_claim(context, key);
                 let engine = self.departed.remove(key).unwrap_or_default();
-                self.engines.insert(key, EngineState { next_claim_at, ..engine });
+                self.engines.insert(key, engine.returned(next_claim_at));
             }
         }
         self.invalidate_claims(catalog);
         self.publish_all_due = true;
     }
 
+    /// State of an engine, also if its entry is missing.
+    pub(super) fn known_engine(&self, key: UpstreamKey) -> Option<&EngineState> {
+        self.engines.get(key).or_else(|| self.departed.get(key))
+    }
+
+    /// State of an engine, also if its entry is missing.
+    pub(super) fn known_engine_mut(&mut self, key: UpstreamKey) -> Option<&mut EngineState> {
+        self.engines.get_mut(key).or_else(|| self.departed.get_mut(key))
+    }
+
     /// When to claim a new engine first. An engine that ignores fencing tokens is not claimed
     /// before all orders of a previous leader have expired.
     fn first_claim(&self, context: &PlacementContext<'_>, key: UpstreamKey) -> Moment {
--- a/components/decisions/tests/support/leader.rs
+++ b/components/decisions/tests/support/leader.rs
@@ -232,17 +232,22 @@
     }))])
 }
 
-/// Report of an engine that has accepted `sequence` orders and serves `assets`.
+/// Report of an engine that has accepted `sequence` orders and serves `assets`, in answer to an order.
 pub fn engine_report(sequence: u64, busy: bool, assets: &[&str]) -> OrderOutcome {
+    OrderOutcome::Accepted(engine_report_of(sequence, busy, assets))
+}
+
+/// Report of an engine that has accepted `sequence` orders and serves `assets`.
+pub fn engine_report_of(sequence: u64, busy: bool, assets: &[&str]) -> EngineReport {
     let serving = |asset: &&str| ResidentAsset {
         asset: (*asset).to_owned(),
         bytes: 0,
         state: ResidentState::Ready,
     };
-    OrderOutcome::Accepted(EngineReport {
+    EngineReport {
         resident: assets.iter().map(serving).collect(),
         sequence: Some(sequence),
         busy,
         copies: None,
-    })
+    }
 }
