Count the memory of an adapter in use until the engine drops it

Cause: all replicas that are being unloaded counted as free for a model, because an engine refuses to load a model until an unload has ended. That holds for models. An adapter in use is dropped when its last request ends, and the engine is not busy with that.

Change: only the unload of a model, with the adapters on it, and an unload that is not accepted yet count as free for the next model. Looked at as well: adapters on their way, adapter slots and retiring replicas are counted until a report does not list them.

--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -155,12 +155,22 @@
         replicas + self.unknown_assets.values().sum::<u64>()
     }
 
-    /// Memory that stays reserved once the current unloads have ended, in bytes.
-    pub fn reserved_bytes_after_unloads(&self) -> u64 {
-        let is_unloading = |replica: &&ReplicaEntry| replica.phase == ReplicaPhase::Unloading;
-        let freed: u64 =
-            self.replicas.values().filter(is_unloading).map(|replica| replica.bytes).sum();
-        self.reserved_bytes() - freed
+    /// Memory that stays reserved once the unload in progress has ended, in bytes. The engine accepts
+    /// no load of a model before that. An adapter in use does not keep it from accepting one, so the
+    /// adapter's memory is not free before a report no longer lists it.
+    pub fn reserved_bytes_after_unloads(&self, catalog: &InventoryCatalog) -> u64 {
+        let base_of = |asset| catalog.assets.get(asset).and_then(|record| record.base);
+        let is_unloading = |asset| {
+            let replica: Option<&ReplicaEntry> = self.replicas.get(&asset);
+            replica.is_some_and(|replica| replica.phase == ReplicaPhase::Unloading)
+        };
+        let is_freed = |asset: AssetKey| {
+            let keeps_memory = self.accepted_unloads.contains(&asset)
+                && base_of(asset).is_some_and(|base| !is_unloading(base));
+            is_unloading(asset) && !keeps_memory
+        };
+        let freed = self.replicas.iter().filter(|(asset, _)| is_freed(**asset));
+        self.reserved_bytes() - freed.map(|(_, replica)| replica.bytes).sum::<u64>()
     }
 
     /// Whether it has stopped answering.
--- a/components/decisions/src/placement/summary.rs
+++ b/components/decisions/src/placement/summary.rs
@@ -126,7 +126,7 @@
             free: upstream.memory_bytes.saturating_sub(engine.reserved_bytes()),
             free_after_unloads: upstream
                 .memory_bytes
-                .saturating_sub(engine.reserved_bytes_after_unloads()),
+                .saturating_sub(engine.reserved_bytes_after_unloads(context.catalog)),
             order_wait: time_until_order(context, engine),
             contention_delay,
             blocked_adapter_rate,
--- a/components/decisions/tests/engine_memory.rs
+++ b/components/decisions/tests/engine_memory.rs
@@ -113,6 +113,10 @@
     OrderKind::LoadModel { asset: name, bytes: size << 30 }
 }
 
+fn unload(asset: &str) -> OrderKind {
+    OrderKind::Unload { asset: asset.to_owned() }
+}
+
 /// Report of an engine with copies of all weights.
 fn report_of(sequence: u64, busy: bool, assets: &[&str]) -> EngineReport {
     let all: Vec<String> = ASSETS[..MODELS].iter().map(|(name, _)| (*name).to_owned()).collect();
@@ -173,3 +177,24 @@
         leader.answer(&OrderKind::Claim, engine_report(5, true, &["other@1"]));
     }
 }
+
+/// Guards against a model that is loaded into the memory of an adapter which requests still use.
+#[test]
+fn can_keep_the_memory_of_an_adapter_in_use_until_it_is_dropped() {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    let held = ["often@1", "small@1", "barn-1", "barn-2"];
+    leader.answer(&OrderKind::Claim, engine_report(0, false, &held));
+    leader.advance(6_000);
+    leader.request_model("barn-3");
+    assert_eq!(leader.wait_for_order(1_500), Some(unload("barn-1")));
+    // The adapter is in use, so it keeps its memory: 50 GiB are free, not 55.
+    leader.answer(&unload("barn-1"), OrderOutcome::Started);
+    leader.request_model("rare");
+    for _ in 0..4 {
+        let Some(kind) = leader.wait_for_order(500) else {
+            break;
+        };
+        assert_ne!(kind, load("rare"), "its memory is not free yet");
+        leader.answer(&kind, OrderOutcome::Conflict);
+    }
+}
