Pause between repeats of a lost order that its engine refuses

What an engine saw: an order whose answer was lost and a report request in turns, without a pause, until its report was newer than the lost order; at a round trip of 3 ms some hundred calls.

Cause: a refused repeat made a claim due at once, and a report older than the last accepted order left the lost order to be sent again at once.

--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -50,6 +50,8 @@
             .engines
             .iter()
             .filter(|(_, engine)| engine.open_order.is_none() && !engine.is_unresponsive())
+            // After a conflict, only a report can show whether the lost order was carried out.
+            .filter(|(_, engine)| engine.conflicts == 0)
             .filter_map(|(key, engine)| {
                 let (kind, asset) = engine.lost_order.clone()?;
                 Some((key, kind, asset))
@@ -266,7 +268,7 @@
         engine.next_order_at = context.now.after(BUSY_RETRY_DELAY * 2u32.pow(doublings));
         if engine.lost_order.is_some() {
             // It may be busy with the lost order, which only a report can show.
-            engine.next_claim_at = context.now;
+            engine.next_claim_at = engine.next_order_at;
             return;
         }
         if !busy || engine.conflicts >= MAX_CONFLICTS {
--- a/components/decisions/src/placement/reports.rs
+++ b/components/decisions/src/placement/reports.rs
@@ -42,7 +42,6 @@
             return;
         };
         engine.next_claim_at = Moment(u64::MAX);
-        engine.conflicts = 0;
         let recent = context.now.since(engine.last_change) < CLAIM_REPORT_AGE;
         if recent && report.sequence.is_some() && report.sequence < engine.sequence {
             // The engine wrote this report before it accepted the last order.
@@ -51,6 +50,7 @@
             engine.next_order_at = engine.next_claim_at;
             return;
         }
+        engine.conflicts = 0;
         let mut unreported_loads = if report.busy {
             engine.recent_loads(context.now, context.catalog)
         } else {
--- a/components/decisions/tests/engines.rs
+++ b/components/decisions/tests/engines.rs
@@ -7,12 +7,14 @@
 use support::leader::TestLeader;
 use support::leader::engine_entry;
 use support::leader::engine_report;
+use support::leader::engine_report_of;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::TimingRules;
 use wagtailledge_decisions::event::RegistryChange;
 use wagtailledge_decisions::order::EngineReport;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
+use wagtailledge_decisions::order::WeightCopies;
 
 /// Inventory of three models, of which two fit an engine, and a pool with two adapter slots.
 const INVENTORY: &str = r#"
@@ -224,6 +226,36 @@
     );
 }
 
+/// Guards against orders and claims in turns, without a pause, while reports are older than a lost order.
+#[test]
+fn can_pause_between_repeats_of_a_lost_order_that_the_engine_refuses() {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    let copies = Some(WeightCopies { in_memory: vec!["flock@1".to_owned()], on_disk: Vec::new() });
+    let report = EngineReport { copies, ..engine_report_of(0, false, &["heat@1"]) };
+    leader.answer(&OrderKind::Claim, OrderOutcome::Accepted(report.clone()));
+    leader.request_model("flock");
+    assert_eq!(leader.wait_for_order(1_000), Some(load("flock")));
+    leader.answer(&load("flock"), OrderOutcome::Started);
+    leader.request_model("barn-1");
+    assert_eq!(leader.wait_for_order(900), Some(load_adapter("barn-1")));
+    leader.answer(&load_adapter("barn-1"), OrderOutcome::Lost);
+    let mut orders = 0;
+    let started = leader.host.now;
+    while leader.host.now.since(started) < Duration::from_millis(200) {
+        while let Some(order) = leader.next_order() {
+            orders += 1;
+            assert!(orders < 20, "{orders} orders and claims in 200 ms");
+            // The engine has carried the order out, and its report is older than the one before.
+            let outcome = match order.kind {
+                OrderKind::Claim => OrderOutcome::Accepted(report.clone()),
+                _ => OrderOutcome::Conflict,
+            };
+            leader.submit(HostEvent::OrderOutcome(order.key, outcome));
+        }
+        leader.advance(10);
+    }
+}
+
 /// Report of an engine that does not count orders.
 fn uncounted_report(assets: &[&str]) -> OrderOutcome {
     match engine_report(0, false, assets) {
