Load nothing on an engine that is busy with an unknown order

Cause: a report does not list the model that is being loaded. Every replica that a busy engine's report no longer listed and that counted as ready for less than 3 s was taken for that model. For a new leader these are all replicas of its first report; one that its predecessor had unloaded explained the work, the real load's memory was not reserved, and the next load carried the right expected number.

Change: the work of a busy engine is known only if the leader knows all orders that the engine had counted and one of them is an accepted load that no report has confirmed, or an accepted unload. Otherwise nothing is loaded there before a report shows it idle. An unload of an adapter that is answered with "nothing to do" leaves the count uncertain until the next report.

--- a/components/decisions/src/placement/engine.rs
+++ b/components/decisions/src/placement/engine.rs
@@ -47,6 +47,8 @@
     pub since: Moment,
     /// When a request last used it; initially when it was ordered or first reported.
     pub last_used: Moment,
+    /// Whether the engine has said since its load was ordered that it is loaded.
+    pub is_confirmed: bool,
 }
 
 impl ReplicaEntry {
@@ -117,10 +119,13 @@
     /// Set after a lost order that the engine may still carry out. No claim is sent before this
     /// moment, because that order could make the report obsolete.
     pub uncertain_until: Option<Moment>,
-    /// Whether its last report showed it busy with something that `replicas` does not show. More
-    /// assets may be resident by now, so nothing is loaded there until a report explains the work
-    /// or shows the engine idle.
+    /// Whether its last report showed it busy with something other than an order that this leader
+    /// knows it accepted. Its free memory is unknown then, so nothing is loaded there until a report
+    /// shows the engine idle.
     pub has_unexplained_work: bool,
+    /// Set if `sequence` may be one too high until the next report, because an answer did not say
+    /// whether the engine counted the order.
+    pub is_sequence_uncertain: bool,
     /// Since when every report has shown it busy; `None` if the last one did not.
     pub busy_since: Option<Moment>,
     /// When it last accepted an order, or answered that the requested state was already reached.
@@ -266,6 +271,7 @@
         self.misses = 0;
         self.uncertain_until = None;
         self.sequence = report.sequence;
+        self.is_sequence_uncertain = false;
         if let Some(copies) = &report.copies {
             self.copies = CopySet::new(catalog, copies);
         }
@@ -383,12 +389,14 @@
         (ResidentState::Loading, Some(loading @ ReplicaPhase::Loading(_))) => loading,
         (ResidentState::Loading, _) => ReplicaPhase::Loading(None),
     };
+    let is_confirmed = state == ResidentState::Ready;
     let Some(entry) = before else {
-        return ReplicaEntry { phase, bytes, since: now, last_used: now };
+        return ReplicaEntry { phase, bytes, since: now, last_used: now, is_confirmed };
     };
     let same_step = entry.phase == phase
         || entry.phase == ReplicaPhase::Ordered
         || (is_load_pending(entry.phase) && is_load_pending(phase));
     let since = if same_step { entry.since } else { now };
-    ReplicaEntry { phase, bytes: bytes.max(entry.bytes), since, last_used: entry.last_used }
+    let bytes = bytes.max(entry.bytes);
+    ReplicaEntry { phase, bytes, since, last_used: entry.last_used, is_confirmed }
 }
--- a/components/decisions/src/placement/orders.rs
+++ b/components/decisions/src/placement/orders.rs
@@ -230,22 +230,25 @@
         };
         engine.record_answer(open);
         engine.last_change = context.now;
-        match open.kind {
-            OrderKind::Unload { .. } => {
-                let adapter =
-                    context.catalog.assets.get(asset).is_some_and(|record| record.base.is_some());
-                // An idle adapter is unloaded at once; the engine counts that as an order.
-                if adapter {
-                    engine.sequence = engine.sequence.map(|sequence| sequence + 1);
-                }
-                engine.replicas.remove(&asset);
-                engine.accepted_unloads.remove(&asset);
-                if !adapter {
-                    // The last known state was wrong, so the engine is claimed before it is used.
-                    engine.next_claim_at = context.now;
-                }
+        if !matches!(open.kind, OrderKind::Unload { .. }) {
+            engine.set_phase(asset, context.now, ReplicaPhase::Ready);
+            if let Some(replica) = engine.replicas.get_mut(&asset) {
+                replica.is_confirmed = true;
             }
-            _ => engine.set_phase(asset, context.now, ReplicaPhase::Ready),
+            return;
+        }
+        let adapter = context.catalog.assets.get(asset).is_some_and(|record| record.base.is_some());
+        // An idle adapter is unloaded at once; the engine counts that as an order.
+        if adapter {
+            engine.sequence = engine.sequence.map(|sequence| sequence + 1);
+            // One that was gone already is answered in the same way, and not counted.
+            engine.is_sequence_uncertain = true;
+        }
+        engine.replicas.remove(&asset);
+        engine.accepted_unloads.remove(&asset);
+        if !adapter {
+            // The last known state was wrong, so the engine is claimed before it is used.
+            engine.next_claim_at = context.now;
         }
     }
 
--- a/components/decisions/src/placement/plan.rs
+++ b/components/decisions/src/placement/plan.rs
@@ -303,8 +303,13 @@
             return;
         }
         let now = context.now;
-        let entry =
-            ReplicaEntry { phase: ReplicaPhase::Ordered, bytes, since: now, last_used: now };
+        let entry = ReplicaEntry {
+            phase: ReplicaPhase::Ordered,
+            bytes,
+            since: now,
+            last_used: now,
+            is_confirmed: false,
+        };
         self.engines[upstream].replicas.insert(asset, entry);
         self.survey.add_replica(asset);
         self.update_summary(context, upstream);
--- a/components/decisions/src/placement/reports.rs
+++ b/components/decisions/src/placement/reports.rs
@@ -10,7 +10,6 @@
 use crate::time::Moment;
 
 use super::engine::EngineState;
-use super::engine::REGISTRY_REPORT_AGE;
 use super::engine::ReplicaEntry;
 use super::engine::ReplicaPhase;
 use super::orders::CLAIM_RETRY;
@@ -51,16 +50,26 @@
             return;
         }
         engine.conflicts = 0;
+        let orders_known = engine.knows_orders_until(report);
         let mut unreported_loads = if report.busy {
-            engine.recent_loads(context.now, context.catalog)
+            engine.unconfirmed_loads(context.now, context.catalog)
         } else {
             Vec::new()
         };
         let loads = engine.apply_report(context.now, context.catalog, report);
         unreported_loads.retain(|(asset, _)| !engine.replicas.contains_key(asset));
-        engine.has_unexplained_work = report.busy
-            && unreported_loads.is_empty()
-            && !engine.is_unloading_model(context.catalog);
+        let is_model = |asset: AssetKey| {
+            context.catalog.assets.get(asset).is_none_or(|record| record.base.is_none())
+        };
+        let is_explained = unreported_loads.iter().any(|(asset, _)| is_model(*asset))
+            || engine.is_unloading_model(context.catalog);
+        engine.has_unexplained_work = report.busy && !(orders_known && is_explained);
+        if engine.has_unexplained_work {
+            // When they end is not known either.
+            for (_, entry) in &mut unreported_loads {
+                entry.phase = ReplicaPhase::Loading(None);
+            }
+        }
         let next_expected_ready =
             unreported_loads.iter().filter_map(|(_, entry)| entry.expected_ready()).min();
         let is_late = unreported_loads.iter().any(|(asset, entry)| {
@@ -119,17 +128,26 @@
 }
 
 impl EngineState {
-    /// Replicas that a busy engine may still be loading without reporting them, marked as loading.
-    fn recent_loads(
+    /// Whether this leader knows every order that the engine had accepted when it wrote the report.
+    /// Then the work in the report can only be one of them. What the other orders do can't be told from
+    /// what is missing in a report, which may be the result of an unload.
+    fn knows_orders_until(&self, report: &EngineReport) -> bool {
+        report.sequence.is_some()
+            && report.sequence == self.sequence
+            && !self.is_sequence_uncertain
+            && !self.has_unexplained_work
+    }
+
+    /// Replicas whose load the engine accepted and has not confirmed, marked as loading.
+    fn unconfirmed_loads(
         &self,
         now: Moment,
         catalog: &InventoryCatalog,
     ) -> Vec<(AssetKey, ReplicaEntry)> {
-        let oldest = now.before(REGISTRY_REPORT_AGE);
-        let recent = |replica: &ReplicaEntry| match replica.phase {
+        let is_unconfirmed = |replica: &ReplicaEntry| match replica.phase {
             ReplicaPhase::Ordered | ReplicaPhase::Loading(_) => true,
-            ReplicaPhase::Ready => replica.since > oldest,
-            ReplicaPhase::Retiring(_) | ReplicaPhase::Unloading => false,
+            ReplicaPhase::Ready | ReplicaPhase::Retiring(_) => !replica.is_confirmed,
+            ReplicaPhase::Unloading => false,
         };
         let loading = |(asset, entry): (&AssetKey, &ReplicaEntry)| {
             let copied = self.copies.memory.contains(asset) || self.copies.disk.contains(asset);
@@ -137,6 +155,6 @@
             let due = (copied || !model).then(|| now.after(LATE_LOAD_RECHECK));
             (*asset, ReplicaEntry { phase: ReplicaPhase::Loading(due), ..*entry })
         };
-        self.replicas.iter().filter(|(_, replica)| recent(replica)).map(loading).collect()
+        self.replicas.iter().filter(|(_, replica)| is_unconfirmed(replica)).map(loading).collect()
     }
 }
