Give orders and report requests connections of their own

Reproduced with a stand-in that writes each answer once more where the next one on its connection is expected: after an order, the next caller got its 202 or a report as a success; after a report request, the next order was taken for "nothing to do".

Ruled out: comparing ids (there are none), a pause before a connection is used again (the second answer comes when the next one is expected).

--- a/components/entry/src/adapters.rs
+++ b/components/entry/src/adapters.rs
@@ -68,13 +68,12 @@
 pub fn etcd_adapters(settings: &HostSettings) -> HostAdapters {
     let platform = &settings.platform;
     let timeout = platform.timeout.0;
-    let pool = ConnectionPool::default();
-    let upstreams = HttpUpstreams::new(pool.clone(), Rc::new(OpenAiDialect));
+    let upstreams = HttpUpstreams::new(ConnectionPool::default(), Rc::new(OpenAiDialect));
     let list = HttpHostList::new(&platform.host_list, timeout);
     HostAdapters {
         store: Rc::new(EtcdService::new(&platform.key_value, timeout)),
         upstreams: Rc::new(upstreams),
-        orders: Rc::new(JsonOrders::new(pool)),
+        orders: Rc::new(JsonOrders::new(ConnectionPool::default())),
         sources: vec![Box::new(HostListPoller { list }), Box::new(LoadPoller)],
         frontend: HostFrontend::Completions,
     }
--- a/components/upstreams/src/json.rs
+++ b/components/upstreams/src/json.rs
@@ -25,6 +25,8 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Short exchanges reuse connections regardless of their idle time.
 const ANY_IDLE_TIME: Duration = Duration::MAX;
+/// Idle time of reused connections for exchanges that have a connection of their own.
+const NO_REUSE: Duration = Duration::ZERO;
 
 /// Request of a short exchange.
 #[derive(Debug, Clone)]
@@ -41,12 +43,29 @@
     pub body: Bytes,
     /// Checked right before the request is written; `None` always permits it.
     pub permit: Option<WritePermit>,
+    /// Whether the exchange has a connection of its own. Answers do not say which request they belong
+    /// to, so a receiver that may answer twice needs that.
+    pub has_own_connection: bool,
 }
 
 impl ShortRequest {
     /// Creates a request without a body.
     pub fn new(address: SocketAddr, method: Method, path: String) -> Self {
-        Self { address, method, path, headers: Vec::new(), body: Bytes::new(), permit: None }
+        Self {
+            address,
+            method,
+            path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+            permit: None,
+            has_own_connection: false,
+        }
+    }
+
+    /// Opens a connection for this exchange and closes it afterwards.
+    #[must_use]
+    pub fn on_own_connection(self) -> Self {
+        Self { has_own_connection: true, ..self }
     }
 
     /// Sets the body, which must be JSON.
@@ -99,14 +118,20 @@
         max_wait: Duration,
     ) -> Result<ShortAnswer, ExchangeFault> {
         let address = request.address;
+        let has_own_connection = request.has_own_connection;
+        let reuse_within = if has_own_connection { NO_REUSE } else { ANY_IDLE_TIME };
         let terms = WriteTerms { permit: request.permit.clone(), ack_timeout: Some(max_wait) };
         let request = request.build().map_err(|error| ExchangeFault::NotSent(error.to_string()))?;
         let lost = |problem: &str| ExchangeFault::Lost(format!("{address}: {problem}"));
         let exchange = async {
-            let answer = self.send_on_terms(address, request, ANY_IDLE_TIME, terms).await?;
+            let answer = self.send_on_terms(address, request, reuse_within, terms).await?;
             let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|error| lost(&error.to_string()))?.to_bytes();
-            answer.connection.release(keep_alive_time(&answer.head));
+            if has_own_connection {
+                answer.connection.close();
+            } else {
+                answer.connection.release(keep_alive_time(&answer.head));
+            }
             let response::Parts { status, headers, .. } = answer.head;
             Ok(ShortAnswer { status: status.as_u16(), headers, body })
         };
--- a/components/upstreams/src/openai.rs
+++ b/components/upstreams/src/openai.rs
@@ -92,6 +92,7 @@
     ) -> LocalBoxFuture<'static, Option<UpstreamLoad>> {
         async move {
             let request = ShortRequest::new(address, Method::GET, "/load".to_owned());
+            let request = request.on_own_connection();
             let answer = pool.exchange(request, CONTROL_TIMEOUT).await.ok()?;
             let report: LoadReport = serde_json::from_slice(&answer.body).ok()?;
             Some(UpstreamLoad { running: report.running, waiting: report.queued })
@@ -138,7 +139,7 @@
                 return OrderOutcome::NotSent;
             };
             let order = ShortRequest::new(address, Method::POST, "/orders".to_owned());
-            let order = order.with_body(body).with_permit(permit);
+            let order = order.with_body(body).with_permit(permit).on_own_connection();
             match pool.exchange(order, CONTROL_TIMEOUT).await {
                 Ok(answer) => match serde_json::from_slice::<OrderAnswer>(&answer.body) {
                     Ok(answer) => answer.into(),
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -147,6 +147,11 @@
     pub fn release(self, keep_alive: Option<Duration>) {
         self.pool.put(self.address, self.connection, max_idle_time(keep_alive));
     }
+
+    /// Closes the connection in the regular way. Must be called only after the whole body was read.
+    pub fn close(self) {
+        self.connection.control.end_exchange();
+    }
 }
 
 /// Time for which a connection is kept idle whose upstream keeps it for `keep_alive`, if known.
