Tell earlier answers from that to a request on a kept connection

Callers were told "not run" for requests that had run or were running, or such a request ran at a second engine.

It can happen here: an answer counted as foreign only if it named another request. One without an id, a refusal, a success or "not at this address" alike, was taken for the answer to the next request. can_tell_an_earlier_refusal_or_answer_from_that_to_a_request fails before ("not run" instead of broken). What could not happen: a connection is closed after a refusal, so its second copy reaches nobody (can_close_the_connection_after_a_refusal passed before).

Change: an answer that does not name its request counts only on a connection that was never used before. A connection is kept only if the answer on it named its request, and requests without an id don't use kept ones. What such an answer says about its upstream is ignored, limits and "not here" included.

Also: each second answer with an id cost the next request of its connection a 502, one after the other.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -117,6 +117,8 @@
             live.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
         let remaining = time_left.unwrap_or(self.parts.stream_pause);
         let reuse_within = match &call.target {
+            // An answer cannot name a request without an id.
+            _ if call.request_id.is_empty() => Duration::ZERO,
             _ if live.terms.repeatable => Duration::MAX,
             CallTarget::Route { .. } if is_registered => SINGLE_RUN_REUSE,
             CallTarget::Model { .. } => Duration::MAX,
--- a/components/upstreams/src/dialect.rs
+++ b/components/upstreams/src/dialect.rs
@@ -46,6 +46,9 @@
 pub struct HeadCheck {
     /// Meaning of the answer for the request.
     pub verdict: HeadVerdict,
+    /// Whether the answer has the id of the request. One without any id belongs to it only if the
+    /// connection was never used before.
+    pub names_request: bool,
     /// What the head says about the upstream; nothing if it belongs to another request.
     pub statement: UpstreamStatement,
 }
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -15,9 +15,11 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 use log::debug;
+use log::info;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::UpstreamLoad;
 use wagtailledge_decisions::event::UpstreamReach;
+use wagtailledge_decisions::event::UpstreamStatement;
 use wagtailledge_decisions::request::RecordedAnswer;
 
 use crate::call::AnswerHead;
@@ -87,7 +89,18 @@
         };
         let check = self.dialect.read_head(&call, &answer.head);
         let status = answer.head.status.as_u16();
-        on_event(CallEvent::Statement(status, check.statement)).await;
+        let is_foreign = check.verdict == HeadVerdict::Foreign
+            || (!check.names_request && answer.connection.is_reused());
+        let statement = if is_foreign { UpstreamStatement::default() } else { check.statement };
+        on_event(CallEvent::Statement(status, statement)).await;
+        if is_foreign {
+            info!(
+                "{} answered request {} with the answer of another request, status {status}",
+                call.upstream, call.request_id
+            );
+            self.pool.use_once(call.address);
+            return AttemptOutcome::Broken;
+        }
         match check.verdict {
             HeadVerdict::Answer => {}
             HeadVerdict::Refused => return AttemptOutcome::NotRun { misplaced: false },
@@ -95,7 +108,9 @@
             HeadVerdict::Foreign => return AttemptOutcome::Broken,
         }
         let framing = BodyFraming::of(&answer.head);
-        let keep_alive = keep_alive_time(&answer.head);
+        // A connection is kept only if the next answer on it can be told from a late one.
+        let keep_alive =
+            if check.names_request { keep_alive_time(&answer.head) } else { Some(Duration::ZERO) };
         strip_hop_headers(&mut answer.head.headers);
         let buffered = if is_streamed(&call, &answer, framing) {
             Ok(BufferedBody::default())
--- a/components/upstreams/src/openai.rs
+++ b/components/upstreams/src/openai.rs
@@ -78,7 +78,8 @@
             StatusCode::SERVICE_UNAVAILABLE if is_engine => HeadVerdict::Refused,
             _ => HeadVerdict::Answer,
         };
-        HeadCheck { verdict, statement: UpstreamStatement::default() }
+        let names_request = matches && echoed.is_some();
+        HeadCheck { verdict, names_request, statement: UpstreamStatement::default() }
     }
 
     fn is_complete(&self, tail: &[u8]) -> bool {
--- a/components/upstreams/src/pool.rs
+++ b/components/upstreams/src/pool.rs
@@ -37,6 +37,8 @@
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(600);
 /// An idle connection is closed this long before its upstream would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Time for which connections to an address are used once only after a second answer arrived from there.
+const SINGLE_USE_TIME: Duration = Duration::from_secs(60);
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -88,6 +90,8 @@
     sender: RequestSender,
     control: Rc<StreamControl>,
     task: AbortHandle,
+    /// Whether an exchange before the current one has used it.
+    is_reused: bool,
 }
 
 impl OpenConnection {
@@ -119,6 +123,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// Addresses whose connections are used once only, and until when.
+    single_use: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
 }
 
 /// Connection on which an answer arrives. Dropping it resets the connection, so that the upstream
@@ -145,13 +151,20 @@
     /// Returns the connection to the pool. Must be called only after the whole body was read.
     /// `keep_alive` is the time for which the upstream keeps an idle connection open, if known.
     pub fn release(self, keep_alive: Option<Duration>) {
-        self.pool.put(self.address, self.connection, max_idle_time(keep_alive));
+        let Self { pool, address, mut connection } = self;
+        connection.is_reused = true;
+        pool.put(address, connection, max_idle_time(keep_alive));
     }
 
     /// Closes the connection in the regular way. Must be called only after the whole body was read.
     pub fn close(self) {
         self.connection.control.end_exchange();
     }
+
+    /// Whether an earlier exchange used the connection, so that an answer on it may belong to that.
+    pub fn is_reused(&self) -> bool {
+        self.connection.is_reused
+    }
 }
 
 /// Time for which a connection is kept idle whose upstream keeps it for `keep_alive`, if known.
@@ -261,7 +274,8 @@
                 debug!("connection to {address} failed: {error}");
             }
         });
-        Ok(OpenConnection { sender, control, task: task.abort_handle() })
+        let task = task.abort_handle();
+        Ok(OpenConnection { sender, control, task, is_reused: false })
     }
 
     /// Removes the most recently used of the connections that have been idle for less than
@@ -278,11 +292,20 @@
         Some(connections.remove(usable).connection)
     }
 
+    /// Closes the idle connections to an address, as a second answer arrived on one of them, and uses
+    /// each new one once only for some time.
+    pub(crate) fn use_once(&self, address: SocketAddr) {
+        let until = Instant::now() + SINGLE_USE_TIME;
+        self.single_use.borrow_mut().insert(address, until);
+        self.close_idle(address);
+    }
+
     fn put(&self, address: SocketAddr, connection: OpenConnection, max_idle: Duration) {
-        if connection.sender.is_closed() || max_idle.is_zero() {
+        connection.control.end_exchange();
+        let is_single_use = self.single_use.borrow().contains_key(&address);
+        if connection.sender.is_closed() || max_idle.is_zero() || is_single_use {
             return;
         }
-        connection.control.end_exchange();
         let idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
@@ -295,6 +318,7 @@
     /// Drops idle connections that are closed or have expired.
     pub fn sweep(&self) {
         let now = Instant::now();
+        self.single_use.borrow_mut().retain(|_, until| *until > now);
         self.idle.borrow_mut().retain(|_, connections| {
             connections.retain(|entry| !entry.connection.sender.is_closed() && entry.expires > now);
             !connections.is_empty()
