Cut a body without a length before the head of another answer

Cause: only the end of the connection marks the end of such a body.

Change: a plain body in which the whole head of an answer stands is broken. A stream of events ends before a line that begins like a status line, and counts as broken there, so that a stream that may be resumed goes on at another engine and any other is visibly cut.

A stream with the status line split at every byte is cut in the same place. `httparse`, which is in the tree already as the parser of `hyper`, reads the head.

--- a/components/upstreams/src/events.rs
+++ b/components/upstreams/src/events.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::framing::STATUS_LINE;
+
 /// Maximum size of an incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Start of a line with the id of an event.
@@ -111,6 +113,11 @@
         boundary
     }
 
+    /// Whether the next byte begins a line.
+    fn is_at_line_start(&self) -> bool {
+        self.position != LinePosition::Inside
+    }
+
     fn end_line(&mut self) {
         if let Some(id) = self.line_head.strip_prefix(ID_FIELD) {
             let id = std::str::from_utf8(id).ok().map(str::trim);
@@ -137,6 +144,18 @@
     pending: BytesMut,
     /// Whether bytes of the current event were forwarded, as it is too long to be held back.
     passes_event: bool,
+    /// Bytes at the end of what was pushed that may be the start of a status line: at most one less
+    /// than [`STATUS_LINE`], and from the start of a line.
+    status_bytes: usize,
+}
+
+/// What remains of the bytes of a stream before another answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnPart {
+    /// Bytes to forward.
+    pub part: Bytes,
+    /// Whether the bytes behind them belong to another answer.
+    pub has_other_answer: bool,
 }
 
 impl EventSplitter {
@@ -165,6 +184,28 @@
         self.pending.split().freeze()
     }
 
+    /// Like [`Self::push`], but stops before a line that begins like the head of another answer, which
+    /// an upstream that answers twice writes behind a stream without a length.
+    pub fn push_before_answer(&mut self, part: Bytes) -> OwnPart {
+        let mut matched = self.status_bytes;
+        let mut at_start = matched == 0 && self.scanner.is_at_line_start();
+        for (at, byte) in part.iter().enumerate() {
+            if (matched > 0 || at_start) && STATUS_LINE[matched] == *byte {
+                matched += 1;
+            } else {
+                matched = 0;
+            }
+            at_start = matches!(byte, b'\n' | b'\r');
+            if matched == STATUS_LINE.len() {
+                // The first bytes of the line may have come with an earlier part.
+                let own = part.slice(..(at + 1).saturating_sub(matched));
+                return OwnPart { part: self.push(own), has_other_answer: true };
+            }
+        }
+        self.status_bytes = matched;
+        OwnPart { part: self.push(part), has_other_answer: false }
+    }
+
     /// Whether what was forwarded ends with a numbered event, after which another stream can continue.
     pub fn is_continuable(&self) -> bool {
         self.holds_back && !self.passes_event && self.last_event().is_some()
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::framing::BodyEnd;
 use crate::framing::BodyFraming;
 use crate::framing::EndCause;
+use crate::framing::contains_answer;
 use crate::pool::ConnectionPool;
 use crate::pool::ExchangeFault;
 use crate::pool::OpenAnswer;
@@ -118,6 +119,9 @@
             read_body(&mut answer, &call).await
         };
         let (end, outcome) = match buffered {
+            Ok(body) if framing == BodyFraming::UntilClose && contains_answer(&body.bytes) => {
+                (BodyEnd::of_buffered(framing, EndCause::Failed), AttemptOutcome::Broken)
+            }
             Ok(body) if body.is_whole => {
                 answer.connection.release(keep_alive);
                 let recorded = recorded_answer(&answer.head, body.bytes.freeze());
@@ -151,8 +155,8 @@
         on_event: EventSink<'_>,
     ) -> (BodyEnd, AttemptOutcome) {
         let status = answer.head.status.as_u16();
-        let mut splitter = is_event_stream(call, &answer.head)
-            .then(|| EventSplitter::new(call.complete_events_only));
+        let splitter = EventSplitter::new(call.complete_events_only);
+        let mut splitter = is_event_stream(call, &answer.head).then_some(splitter);
         let started = AnswerHead { status, headers: std::mem::take(&mut answer.head.headers) };
         if !on_event(CallEvent::Started(started)).await {
             let end = BodyEnd::of_buffered(framing, EndCause::Stopped);
@@ -171,9 +175,13 @@
                 },
             };
             update_tail(&mut tail, &part);
-            let (part, last_event) = match &mut splitter {
-                Some(splitter) => (splitter.push(part), splitter.last_event()),
-                None => (part, None),
+            let (part, last_event, has_other_answer) = match &mut splitter {
+                Some(splitter) if framing == BodyFraming::UntilClose => {
+                    let own = splitter.push_before_answer(part);
+                    (own.part, splitter.last_event(), own.has_other_answer)
+                }
+                Some(splitter) => (splitter.push(part), splitter.last_event(), false),
+                None => (part, None, false),
             };
             let continues = call.resume_after.is_none_or(|last| {
                 splitter.as_ref().is_some_and(|splitter| splitter.continues_after(last))
@@ -185,6 +193,9 @@
             if !part.is_empty() && !on_event(CallEvent::Part(part, last_event)).await {
                 break EndCause::Stopped;
             }
+            if has_other_answer {
+                break EndCause::Failed;
+            }
         };
         let open_bytes = splitter.as_ref().map_or(0, EventSplitter::open_bytes);
         let end = BodyEnd { framing, cause, open_bytes };
--- a/components/upstreams/src/framing.rs
+++ b/components/upstreams/src/framing.rs
@@ -38,6 +38,23 @@
     }
 }
 
+/// Start of the status line of an answer.
+pub const STATUS_LINE: &[u8] = b"HTTP/1.";
+/// Most headers of a second answer that are parsed.
+const MAX_HEADERS: usize = 64;
+
+/// Whether a body that lasts until its connection is closed contains the head of another answer. An
+/// upstream that answers twice writes it behind the body.
+pub fn contains_answer(body: &[u8]) -> bool {
+    let starts = body.windows(STATUS_LINE.len()).enumerate();
+    let mut starts = starts.filter(|(_, window)| *window == STATUS_LINE).map(|(at, _)| at);
+    starts.any(|at| {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        head.parse(&body[at..]).is_ok_and(|status| status.is_complete())
+    })
+}
+
 /// Why reading a body stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndCause {
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -24,6 +24,7 @@
 pub use dialect::UpstreamDialect;
 pub use dialect::strip_hop_headers;
 pub use events::EventSplitter;
+pub use events::OwnPart;
 pub use exchange::HttpUpstreams;
 pub use framing::BodyEnd;
 pub use framing::BodyFraming;
--- a/components/upstreams/tests/events.rs
+++ b/components/upstreams/tests/events.rs
@@ -111,3 +111,31 @@
     let (forwarded, open, last_event, has_event) = split(std::iter::once(text.clone()), true);
     assert_eq!((forwarded, open, last_event, has_event), (text.to_vec(), 0, None, false));
 }
+
+/// Guards against a status line that is not seen because it arrives in two parts.
+#[test]
+fn can_stop_before_a_second_answer_wherever_its_parts_are_split() {
+    let own = "id: 1\ndata: HTTP/1.1 200 OK\n\n";
+    let text = format!("{own}HTTP/1.1 200 OK\r\n\r\nid: 1\n\n");
+    for cut in 0..text.len() {
+        for holds_back in [false, true] {
+            let mut splitter = EventSplitter::new(holds_back);
+            let (first, second) = text.as_bytes().split_at(cut);
+            let mut forwarded = Vec::new();
+            let mut stopped = false;
+            for part in [first, second] {
+                if !stopped {
+                    let pushed = splitter.push_before_answer(Bytes::copy_from_slice(part));
+                    forwarded.extend_from_slice(&pushed.part);
+                    stopped = pushed.has_other_answer;
+                }
+            }
+            assert!(stopped, "cut at {cut}");
+            // Without holding back, the first bytes of the line may be gone already.
+            let excess = forwarded.len() - own.len();
+            assert!(forwarded.starts_with(own.as_bytes()), "cut at {cut}");
+            assert!(excess == 0 || (!holds_back && excess < 7), "cut at {cut}: {excess}");
+            assert!(splitter.is_continuable() == holds_back, "cut at {cut}");
+        }
+    }
+}
