Let a leader without the store follow the one that replaced it

What callers saw (rule DRAIN, reproduced over sockets): a host that the store turns away went on sending requests to an engine whose entry said that it was leaving, 3.9 s later and on, as long as it was observed.

Cause: a host that holds a lease in its own view ignored every notice of other leaders. It learns that its lease has been taken over by reading the record, which the store refuses. So it heard nothing of what the new leader told it: leaving engines, replicas, limits.

Change: a notice with the stored lease record of a later epoch ends this host's term at once, and is applied. Such a record is only stored once the earlier lease has ended.

Evidence: can_follow_the_leader_that_replaced_this_one_without_the_key_value_service fails before.

--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -204,8 +204,8 @@
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
     }
 
-    /// Applies a notice of this scope's leader. Ignores other scopes, earlier epochs, and every
-    /// notice while this host leads.
+    /// Applies a notice of this scope's leader. Ignores other scopes and earlier epochs. If this host
+    /// leads, only a notice that shows that its lease has been superseded counts.
     pub(super) fn handle_leader_notice(
         &mut self,
         now: Moment,
@@ -214,7 +214,10 @@
         effects: &mut Vec<HostEffect>,
     ) {
         let known = self.leader.as_ref().map_or(0, |leader| leader.epoch);
-        if from.scope != self.me.scope || notice.epoch < known || self.placement.is_some() {
+        if from.scope != self.me.scope || notice.epoch < known {
+            return;
+        }
+        if self.placement.is_some() && !self.gives_way(now, notice.lease.as_ref(), effects) {
             return;
         }
         let same_leader = self.leader.as_ref().is_some_and(|leader| leader.identity == from);
@@ -244,6 +247,24 @@
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
+    /// Ends this host's term if another leader's lease supersedes its own. Returns whether it did.
+    fn gives_way(
+        &mut self,
+        now: Moment,
+        stored: Option<&StoredLease>,
+        effects: &mut Vec<HostEffect>,
+    ) -> bool {
+        let Some(stored) = stored else {
+            return false;
+        };
+        let mut gave_way = false;
+        self.with_lease(now, effects, |lease, context| gave_way = lease.give_way(context, stored));
+        if gave_way {
+            self.leadership_changed(now, effects);
+        }
+        gave_way
+    }
+
     /// Reports the usage of the last seconds instead of that since the last report, as another leader
     /// received the reports before. Without it, a new leader would evict busy models as unused.
     pub(super) fn report_recent_usage(&mut self, now: Moment) {
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -550,7 +550,7 @@
     }
 
     /// Starts or ends this process's term as leader, after it acquired or lost the lease.
-    fn leadership_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+    pub(super) fn leadership_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         let held_epoch = self.lease.held_epoch();
         if let (None, Some(placement)) = (held_epoch, &self.placement) {
             let epoch = placement.epoch;
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -381,6 +381,22 @@
         }
     }
 
+    /// Gives the held lease up if the record of a later epoch is known to be stored, which this process
+    /// cannot see if it does not reach the key-value service. Returns whether it did.
+    pub fn give_way(&mut self, context: &LeaseContext<'_>, stored: &StoredLease) -> bool {
+        let is_superseded =
+            self.held.as_ref().is_some_and(|held| held.record.epoch < stored.record.epoch);
+        if is_superseded {
+            self.held = None;
+            self.observed = Some(ObservedRecord {
+                version: stored.version,
+                record: Some(stored.record.clone()),
+                unchanged_since: context.now,
+            });
+        }
+        is_superseded
+    }
+
     fn observe(
         &mut self,
         context: &mut LeaseContext<'_>,
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -86,26 +86,21 @@
     Leader,
 }
 
-/// Time from the last message of a leader until this host takes over.
-fn takeover_time(source: LeaseSource) -> Duration {
-    let record = LeaseRecord {
+/// Record of a lease that the host `east-2` holds.
+fn other_record(epoch: u64) -> LeaseRecord {
+    LeaseRecord {
         holder: support::identity("east-2"),
-        epoch: 1,
+        epoch,
         renewals: 9,
         successors: Vec::new(),
         ended: false,
-    };
-    let mut leader = TestLeader::before_election(INVENTORY, "llm");
-    leader.store_value("lease/east", &record.to_value());
-    let started = leader.host.now;
-    if source == LeaseSource::KeyValueService {
-        leader.submit(HostEvent::Lease(1, record.to_value()));
     }
-    // The leader sends one last message. This host does not read the record before the leader
-    // counts as unreachable.
-    let lease = StoredLease { version: 1, record };
-    leader.host.receive(PeerMessage::Leader(LeaderNotice {
-        epoch: 1,
+}
+
+/// Notice of the leader `east-2`.
+fn other_notice(epoch: u64, lease: Option<StoredLease>) -> PeerMessage {
+    PeerMessage::Leader(LeaderNotice {
+        epoch,
         successors: Vec::new(),
         revision: 1,
         update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
@@ -114,8 +109,41 @@
         limits: LimitTable::default(),
         quarantine: QuarantineTable::default(),
         hosts: 0,
-        lease: (source == LeaseSource::Leader).then_some(lease),
-    }));
+        lease,
+    })
+}
+
+/// Guards against a leader that cannot reach the key-value service and ignores the one that replaced
+/// it, with all that it says.
+#[test]
+fn can_follow_the_leader_that_replaced_this_one_without_the_key_value_service() {
+    let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+    leader.set_away(true);
+    let epoch = leader.host.reducer.status(leader.host.now).epoch;
+    for (later, expected) in [(0, "east-1"), (1, "east-2")] {
+        let record = other_record(epoch + later);
+        let lease = StoredLease { version: 100 + later, record };
+        leader.host.receive(other_notice(epoch + later, Some(lease)));
+        let status = leader.host.reducer.status(leader.host.now);
+        assert_eq!(status.leader.as_deref(), Some(expected));
+        assert_eq!(status.authority, later == 0, "only the later epoch ends the authority");
+    }
+}
+
+/// Time from the last message of a leader until this host takes over.
+fn takeover_time(source: LeaseSource) -> Duration {
+    let record = other_record(1);
+    let mut leader = TestLeader::before_election(INVENTORY, "llm");
+    leader.store_value("lease/east", &record.to_value());
+    let started = leader.host.now;
+    if source == LeaseSource::KeyValueService {
+        leader.submit(HostEvent::Lease(1, record.to_value()));
+    }
+    // The leader sends one last message. This host does not read the record before the leader
+    // counts as unreachable.
+    let lease = StoredLease { version: 1, record };
+    let lease = (source == LeaseSource::Leader).then_some(lease);
+    leader.host.receive(other_notice(1, lease));
     while stored_lease(&leader).epoch == 1 {
         leader.advance(10);
         assert!(leader.host.now.since(started) < Duration::from_secs(20), "no host took over");
