Log by which configuration a request has no target

Operators saw requests refused as an older configuration allows.

A request without a target now logs the revision in force, its age and source; configure lines name the source; rejected offers and full reads of the store are logged. No logic is changed.

--- a/components/decisions/src/configuration/state.rs
+++ b/components/decisions/src/configuration/state.rs
@@ -17,6 +17,7 @@
 use crate::registry::PendingCalls;
 use crate::store::StoreOp;
 use crate::store::StoreOutcome;
+use crate::time::Moment;
 
 use super::head::ConfigurationHead;
 use super::head::HEAD_KEY;
@@ -45,6 +46,20 @@
     missing: BTreeSet<String>,
 }
 
+/// Where the configuration in force came from.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ConfigurationOrigin {
+    /// Revision in force; 0 before the first configuration.
+    pub revision: u64,
+    /// Since when it has been in force in this process.
+    pub since: Moment,
+    /// Name of the host that sent it, or [`STORE_SOURCE`]; empty before the first configuration.
+    pub source: String,
+}
+
+/// Source of a configuration that was read from the key-value service.
+pub const STORE_SOURCE: &str = "store";
+
 /// The configuration in force in this process.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigurationState {
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -28,6 +28,8 @@
     Lead,
     /// A configuration revision comes into force.
     Configure,
+    /// Reject a configuration that another host offered.
+    Offer,
     /// An upstream is ejected or readmitted.
     Health,
     /// The limit of an upstream changes.
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -16,7 +16,9 @@
 
 use crate::admission::RequestRecord;
 use crate::admission::WaitingQueue;
+use crate::configuration::ConfigurationOrigin;
 use crate::configuration::ConfigurationState;
+use crate::configuration::STORE_SOURCE;
 use crate::discovery::RegistryDirectory;
 use crate::effect::DecisionKind;
 use crate::effect::DecisionRecord;
@@ -140,6 +142,8 @@
     pub(super) registered_upstreams: RegistryDirectory,
     /// When a sweep first found the entry of a registered process missing.
     pub(super) missing_since: SecondaryMap<UpstreamKey, Moment>,
+    /// The configuration in force, and where it came from.
+    pub(super) configuration_origin: ConfigurationOrigin,
     pub(super) next_configuration_read: Moment,
     pub(super) next_configuration_request: Moment,
     pub(super) next_sweep: Moment,
@@ -205,6 +209,7 @@
             declined: BTreeSet::new(),
             registered_upstreams: RegistryDirectory::new(table_seed),
             missing_since: SecondaryMap::new(),
+            configuration_origin: ConfigurationOrigin::default(),
             next_configuration_read: now,
             next_configuration_request: now,
             next_sweep: now,
@@ -283,7 +288,7 @@
             HostEvent::StoreSeen(at) => self.store_seen(now, at),
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
-                    self.configuration_changed(now, effects);
+                    self.configuration_changed(now, STORE_SOURCE, effects);
                 }
             }
             HostEvent::Lease(version, value) => {
@@ -409,7 +414,9 @@
             PeerMessage::ConfigurationOffer { base, revision, digest, changes } => {
                 let state = &mut self.configuration;
                 if state.apply_offer(base, revision, digest, changes, &mut self.catalog) {
-                    self.configuration_changed(now, effects);
+                    self.configuration_changed(now, &from.name, effects);
+                } else if revision > self.catalog.revision {
+                    self.log_rejected_offer(&from, base, revision, effects);
                 }
             }
             PeerMessage::StreamOrigins(rows) => self.record_origins(now, &rows),
@@ -451,7 +458,7 @@
             }
             CallPurpose::ConfigurationShard(key) => {
                 if self.configuration.apply_shard(&key, outcome, &mut self.catalog) {
-                    self.configuration_changed(now, effects);
+                    self.configuration_changed(now, STORE_SOURCE, effects);
                 }
             }
             CallPurpose::LedgerClaim(request) => {
@@ -599,7 +606,35 @@
         self.plan(now, effects);
     }
 
-    fn configuration_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+    /// The configuration in force, and where it came from.
+    pub fn configuration_origin(&self) -> &ConfigurationOrigin {
+        &self.configuration_origin
+    }
+
+    fn log_rejected_offer(
+        &self,
+        from: &HostIdentity,
+        base: u64,
+        revision: u64,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        effects.push(HostEffect::LogDecision(DecisionRecord {
+            kind: DecisionKind::Offer,
+            ticket: None,
+            subject: "configuration".to_owned(),
+            choice: format!("revision {}", self.catalog.revision),
+            reason: "the offered changes do not fit the revision in force",
+            alternatives: 0,
+            inputs: format!("offered={revision} base={base} from={}", from.name),
+        }));
+    }
+
+    /// Records that a configuration came into force, which `source` sent: a host, or the key-value
+    /// service.
+    fn configuration_changed(&mut self, now: Moment, source: &str, effects: &mut Vec<HostEffect>) {
+        let revision = self.catalog.revision;
+        self.configuration_origin =
+            ConfigurationOrigin { revision, since: now, source: source.to_owned() };
         effects.push(HostEffect::LogDecision(DecisionRecord {
             kind: DecisionKind::Configure,
             ticket: None,
@@ -607,7 +642,7 @@
             choice: format!("revision {}", self.catalog.revision),
             reason: "newer revision accepted",
             alternatives: 0,
-            inputs: String::new(),
+            inputs: format!("from={source}"),
         }));
         self.reapply_engine_reports(now, effects);
         self.view.drop_unknown(&self.catalog);
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -6,6 +6,7 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use log::info;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::host::RouteMatch;
 use wagtailledge_decisions::host::RouteResolution;
@@ -101,6 +102,25 @@
     }
 }
 
+impl ShellGate {
+    /// Logs the configuration by which a call has no target.
+    fn log_unresolved(&self, call: &CallerCall, unresolved: &UnresolvedCall) {
+        let reason = match unresolved {
+            UnresolvedCall::UnknownName => "no such target",
+            UnresolvedCall::Unconfigured => "no configuration yet",
+        };
+        let origin = self.shell.read(|reducer| reducer.configuration_origin().clone());
+        let age_ms = self.shell.now().since(origin.since).as_millis() as u64;
+        info!(
+            target: "unresolved",
+            host = self.shell.identity().name.as_str(), request = call.request_id.as_str(),
+            path = call.path.as_str(), reason = reason, revision = origin.revision,
+            age_ms = age_ms, source = origin.source.as_str();
+            "{} at revision {}: {reason}", call.request_id, origin.revision
+        );
+    }
+}
+
 /// Hash of method, path and body, which a call with the same idempotency key must match.
 fn fingerprint(call: &CallerCall) -> u64 {
     let mut hash = Xxh3::new();
@@ -125,7 +145,10 @@
         }
         let resolved = match self.resolve(&mut call) {
             Ok(resolved) => resolved,
-            Err(unresolved) => return futures::future::ready(unresolved.into()).boxed_local(),
+            Err(unresolved) => {
+                self.log_unresolved(&call, &unresolved);
+                return futures::future::ready(unresolved.into()).boxed_local();
+            }
         };
         let ResolvedCall { target, repeat, deadline, terms } = resolved;
         let retry_terms = RetryTerms {
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -49,6 +49,7 @@
         DecisionKind::Unload => "unload",
         DecisionKind::Lead => "lead",
         DecisionKind::Configure => "configure",
+        DecisionKind::Offer => "offer",
         DecisionKind::Health => "health",
         DecisionKind::Limit => "limit",
         DecisionKind::Permit => "permit",
