--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -18,3 +18,4 @@
 pub use stack::FleetSpec;
 pub use stack::FleetStack;
 pub use store::FleetStore;
+pub use store::StoreCopy;
--- a/components/standins/src/fleet/store.rs
+++ b/components/standins/src/fleet/store.rs
@@ -32,6 +32,14 @@
     lease: u64,
 }
 
+/// What the store held at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, StoredValue>,
+    leases: BTreeMap<u64, StoreLease>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct StoreLease {
     expires_at: Instant,
@@ -46,6 +54,8 @@
     history: Vec<(u64, String, Option<String>)>,
     /// Revision up to which the history was discarded.
     compacted_revision: u64,
+    /// Incremented whenever the store comes back from a copy.
+    era: u64,
     leases: BTreeMap<u64, StoreLease>,
     /// Number of silent periods so far; a watch that was open in one never gets an answer.
     silent_periods: u64,
@@ -67,6 +77,7 @@
             items: BTreeMap::new(),
             history: Vec::new(),
             compacted_revision: 0,
+            era: 1,
             leases: BTreeMap::new(),
             silent_periods: 0,
             silent: false,
@@ -115,6 +126,29 @@
         state.history.clear();
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            revision: state.revision,
+            items: state.items.clone(),
+            leases: state.leases.clone(),
+        }
+    }
+
+    /// Replaces what the store holds by an earlier copy. All later changes are lost and their revisions
+    /// are given out again. Watches that are open never get an answer.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.revision = copy.revision;
+        state.items = copy.items.clone();
+        state.leases = copy.leases.clone();
+        state.compacted_revision = 0;
+        state.history.retain(|(revision, _, _)| *revision <= copy.revision);
+        state.era += 1;
+        state.silent_periods += 1;
+    }
+
     /// Number of calls received so far, including those without an answer.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -163,7 +197,7 @@
                 if state.silent_periods != silent_periods {
                     return StandInAnswer::Hang;
                 }
-                if after < state.compacted_revision {
+                if after < state.compacted_revision || after > state.revision {
                     return StandInAnswer::Json(410, json!({}));
                 }
                 let events = state.events(&prefix, after);
@@ -318,24 +352,35 @@
     }
 }
 
+impl FleetStore {
+    async fn answer(&self, request: &StandInRequest) -> StandInAnswer {
+        {
+            let mut state = self.lock();
+            state.calls += 1;
+            if state.silent {
+                return StandInAnswer::Hang;
+            }
+            if state.refusing {
+                return StandInAnswer::Json(503, json!({}));
+            }
+        }
+        if request.path == "/-/kv-watch" {
+            return self.watch(request).await;
+        }
+        let (status, body) = self.lock().answer(request);
+        StandInAnswer::Json(status, body)
+    }
+}
+
 impl StandInHandler for FleetStore {
     fn handle(self: Arc<Self>, request: StandInRequest) -> LocalBoxFuture<'static, StandInAnswer> {
         async move {
-            {
-                let mut state = self.lock();
-                state.calls += 1;
-                if state.silent {
-                    return StandInAnswer::Hang;
-                }
-                if state.refusing {
-                    return StandInAnswer::Json(503, json!({}));
-                }
-            }
-            if request.path == "/-/kv-watch" {
-                return self.watch(&request).await;
-            }
-            let (status, body) = self.lock().answer(&request);
-            StandInAnswer::Json(status, body)
+            let answer = self.answer(&request).await;
+            let StandInAnswer::Json(status, body) = answer else {
+                return answer;
+            };
+            let era = ("store-era", self.lock().era.to_string());
+            StandInAnswer::Reply(status, vec![era], body.to_string().into())
         }
         .boxed_local()
     }
