Take a later epoch than any seen when the lease record came back older

If the store comes back from an older copy, the lease record of an earlier epoch is there again.

A process keeps the highest epoch of any record, holder or notice that it heard of, and takes over with the next one. The test failed before: epoch 5 after 9 was in use, whether the epoch was known from the record or from the leader's notice.

--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -231,6 +231,7 @@
         }
         self.leader =
             Some(LeaderContact { identity: from.clone(), epoch: notice.epoch, last_message: now });
+        self.lease.record_epoch(notice.epoch);
         self.declined = self.assets_named(&notice.declined);
         self.leader_successors = notice.successors;
         self.leader_host_count = (notice.hosts > 0).then_some(notice.hosts as usize);
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -101,6 +101,9 @@
     /// Epoch and version of the lease record for which a successor last confirmed that its promises
     /// have expired.
     released_record: Option<(u64, u64)>,
+    /// Highest epoch of any record or holder that this process heard of. The key-value service may have
+    /// lost that record, but its holder's orders have used the epoch.
+    highest_epoch: u64,
     draining: bool,
 }
 
@@ -119,6 +122,7 @@
             takeover_at: None,
             pending_takeover: None,
             released_record: None,
+            highest_epoch: 0,
             draining: false,
         }
     }
@@ -295,7 +299,8 @@
         let Some(observed) = self.observed.as_ref() else {
             return;
         };
-        let epoch = observed.record.as_ref().map_or(0, |record| record.epoch) + 1;
+        let observed_epoch = observed.record.as_ref().map_or(0, |record| record.epoch);
+        let epoch = observed_epoch.max(self.highest_epoch) + 1;
         let successors: Vec<HostIdentity> = context.reachable_peers().into_iter().take(2).collect();
         let record = LeaseRecord {
             holder: context.me.clone(),
@@ -343,6 +348,7 @@
         match call {
             LeaseCall::Acquire => {
                 if let Some((record, _)) = self.pending_takeover.take() {
+                    self.record_epoch(record.epoch);
                     self.held = Some(HeldLease::new(record, version, sent, context.timing));
                     self.next_call = sent.after(context.timing.lease_renewal);
                 }
@@ -366,6 +372,11 @@
         Some(StoredLease { version: held.version, record: held.record.clone() })
     }
 
+    /// Records an epoch that a host of the scope has held the lease in.
+    pub fn record_epoch(&mut self, epoch: u64) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+    }
+
     /// Applies a record that the key-value service or its holder announced without a read. If the
     /// leader later becomes unreachable, a candidate measures the lease time from this announcement,
     /// not from its first read.
@@ -403,6 +414,7 @@
         version: u64,
         record: Option<LeaseRecord>,
     ) {
+        self.record_epoch(record.as_ref().map_or(0, |record| record.epoch));
         if self.held.is_some() {
             self.observe_as_holder(context, version, record);
             return;
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -113,6 +113,28 @@
     })
 }
 
+/// Guards against two holders with one fencing token after the key-value service came back older.
+#[test]
+fn can_take_a_later_epoch_than_any_seen_when_the_lease_record_came_back_older() {
+    for is_known_from_notice in [false, true] {
+        let mut leader = TestLeader::with_engine(INVENTORY, "llm");
+        if is_known_from_notice {
+            leader.set_away(true);
+            let lease = StoredLease { version: 100, record: other_record(9) };
+            leader.host.receive(other_notice(9, Some(lease)));
+            leader.set_away(false);
+        } else {
+            leader.store_value("lease/east", &other_record(9).to_value());
+            leader.advance(LEASE_CHANGE_TIMEOUT.as_millis() as u64);
+        }
+        leader.store_value("lease/east", &other_record(4).to_value());
+        leader.advance(4 * LEASE_CHANGE_TIMEOUT.as_millis() as u64);
+        let record = stored_lease(&leader);
+        assert_eq!(record.holder.name, "east-1", "the lease is not taken over");
+        assert!(record.epoch > 9, "epoch {} after 9 was in use", record.epoch);
+    }
+}
+
 /// Guards against a leader that cannot reach the key-value service and ignores the one that replaced
 /// it, with all that it says.
 #[test]
