Let hosts tell a leader without the store which upstreams leave

A leader's notice now says up to which revision it knows the entries of upstreams, and whether its last call to follow the store failed; it is sent at once when that changes. A host whose leader cannot read the store asks the store as often as one without a leader, and sends the leader the entries that it lacks, 500 at most, again after 400 ms while it lacks them. If the leader does not say that it lost the store, a host waits for a second first. Entries only count with a higher revision than the one known.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -22,6 +22,7 @@
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
 use wagtailledge_decisions::message::ScopeDigest;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::message::UsageRow;
@@ -282,6 +283,7 @@
         quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: None,
+        store: StoreView::default(),
     };
     follower.receive(identity(0, 0), PeerMessage::Leader(notice.clone()));
     follower.run(Duration::from_secs(2));
--- a/components/decisions/src/discovery/directory.rs
+++ b/components/decisions/src/discovery/directory.rs
@@ -15,6 +15,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegistryRow(pub String, pub u64, pub Option<RegisteredUpstream>);
 
+impl RegistryRow {
+    /// The change that the row reports.
+    pub fn change(&self) -> RegistryChange {
+        let Self(name, revision, upstream) = self;
+        match upstream {
+            Some(upstream) => {
+                let upstream = RegisteredUpstream { revision: *revision, ..upstream.clone() };
+                RegistryChange::Present(Box::new(upstream))
+            }
+            None => RegistryChange::Absent(name.clone(), *revision),
+        }
+    }
+}
+
 /// Changes between two versions of a host's directory.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct RegistryUpdate {
@@ -49,6 +63,15 @@
     upstream: Option<RegisteredUpstream>,
 }
 
+impl DirectoryEntry {
+    /// The entry as sent to other hosts, without the engine report.
+    fn row(&self, name: &str) -> RegistryRow {
+        let upstream = self.upstream.clone();
+        let upstream = upstream.map(|upstream| RegisteredUpstream { report: None, ..upstream });
+        RegistryRow(name.to_owned(), self.revision, upstream)
+    }
+}
+
 /// All registered upstreams. For each, the entry with the highest platform revision is kept, from
 /// whichever source.
 #[derive(Debug, Clone)]
@@ -56,6 +79,8 @@
     /// Identifier of this process's directory.
     id: u64,
     entries: BTreeMap<String, DirectoryEntry>,
+    /// Highest platform revision of any entry; 0 without entries.
+    revision: u64,
     /// Platform revision of each entry, versioned so that updates can be sent to readers.
     table: VersionedTable<String, u64>,
     /// Version of another host's directory that this process has applied.
@@ -66,7 +91,7 @@
     /// Creates an empty directory; `id` must differ from that of any other process.
     pub fn new(id: u64) -> Self {
         let (entries, table) = (BTreeMap::new(), VersionedTable::default());
-        Self { id, entries, table, source: TableAck::default() }
+        Self { id, entries, revision: 0, table, source: TableAck::default() }
     }
 
     /// Applies a change; returns whether it was new.
@@ -90,6 +115,7 @@
         }
         let entry = DirectoryEntry { revision, upstream: upstream.cloned() };
         self.entries.insert(name.clone(), entry);
+        self.revision = self.revision.max(revision);
         self.table.put(name.clone(), Some(revision));
         true
     }
@@ -104,6 +130,27 @@
         self.entries.values().filter_map(|entry| entry.upstream.as_ref())
     }
 
+    /// Highest platform revision of any entry; 0 without entries.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether the change is newer than what is known of its upstream.
+    pub fn is_newer(&self, change: &RegistryChange) -> bool {
+        let (revision, is_present) = match change {
+            RegistryChange::Present(upstream) => (upstream.revision, true),
+            RegistryChange::Absent(_, revision) => (*revision, false),
+        };
+        let known = self.entries.get(change.name());
+        known.map_or(is_present, |entry| entry.revision < revision)
+    }
+
+    /// Entries with a platform revision above `revision`, deleted ones included, at most `limit`.
+    pub fn rows_above(&self, revision: u64, limit: usize) -> Vec<RegistryRow> {
+        let newer = self.entries.iter().filter(|(_, entry)| entry.revision > revision);
+        newer.take(limit).map(|(name, entry)| entry.row(name)).collect()
+    }
+
     /// Version of this process's directory.
     pub fn version(&self) -> u64 {
         self.table.version()
@@ -125,9 +172,7 @@
         let delta = self.table.delta(since);
         let row = |(name, _): (String, Option<u64>)| {
             let entry = self.entries.get(&name)?;
-            let upstream = entry.upstream.clone();
-            let upstream = upstream.map(|upstream| RegisteredUpstream { report: None, ..upstream });
-            Some(RegistryRow(name, entry.revision, upstream))
+            Some(entry.row(&name))
         };
         RegistryUpdate {
             table: self.id,
@@ -152,13 +197,6 @@
         if !same_table || self.source.version < update.version {
             self.source = TableAck { table: update.table, version: update.version };
         }
-        let change = |RegistryRow(name, revision, upstream): &RegistryRow| match upstream {
-            Some(upstream) => {
-                let upstream = RegisteredUpstream { revision: *revision, ..upstream.clone() };
-                RegistryChange::Present(Box::new(upstream))
-            }
-            None => RegistryChange::Absent(name.clone(), *revision),
-        };
-        Some(update.rows.iter().map(change).collect())
+        Some(update.rows.iter().map(RegistryRow::change).collect())
     }
 }
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -197,6 +197,8 @@
     SoftwareRecord(u64, String),
     /// Everything that was in the key-value service at this moment has been delivered.
     StoreSeen(Moment),
+    /// A call to follow the key-value service failed.
+    StoreLost,
     /// The platform delivered its complete configuration, with its revision.
     Inventory(u64, ItemMap),
     /// The key-value service's watch delivered the lease record of this host's scope: its version
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -8,6 +8,7 @@
 use wagtailledge_inventory::catalog::UNDATED;
 use wagtailledge_inventory::catalog::UpstreamKind;
 
+use crate::discovery::RegistryRow;
 use crate::discovery::RegistryUpdate;
 use crate::effect::DecisionKind;
 use crate::effect::DecisionRecord;
@@ -15,6 +16,8 @@
 use crate::event::ListedState;
 use crate::event::RegisteredUpstream;
 use crate::event::RegistryChange;
+use crate::identity::HostIdentity;
+use crate::message::PeerMessage;
 use crate::message::ReplicaState;
 use crate::order::EngineReport;
 use crate::time::Moment;
@@ -24,6 +27,13 @@
 /// Time for which the process of a missing entry is remembered. Must exceed the longest outage after
 /// which the entry may return.
 const PROCESS_RETENTION: Duration = Duration::from_secs(2 * 60 * 60);
+/// Time for which a leader may lack entries that this host knows before they are sent to it, if it does
+/// not say that it cannot read the store. It may learn of them by itself, a little later.
+const LACKING_ENTRIES_TIME: Duration = Duration::from_secs(1);
+/// Time until entries that a leader still lacks are sent again.
+const ENTRIES_REPEAT_TIME: Duration = Duration::from_millis(400);
+/// Most entries that are sent to a leader at once.
+const MAX_SENT_ENTRIES: usize = 500;
 /// Most changed entries that are logged one by one when many change at once.
 const MAX_LOGGED_ENTRIES: usize = 16;
 
@@ -143,6 +153,62 @@
         }
     }
 
+    /// Records whether this host can follow the platform's store. A leader tells its hosts at once, as
+    /// they then have to follow it themselves.
+    pub(super) fn set_store_lost(&mut self, is_lost: bool) {
+        if std::mem::replace(&mut self.is_store_lost, is_lost) == is_lost {
+            return;
+        }
+        self.notices_due = true;
+        for sync in self.member_syncs.values_mut() {
+            sync.dirty = true;
+        }
+    }
+
+    /// Sends the leader the entries of upstreams that it does not know, because it cannot read the
+    /// platform's store. Hosts that cannot read it either learn of them through the leader.
+    pub(super) fn send_lacking_entries(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
+        let revision = self.registered_upstreams.revision();
+        let Some(leader) = self.leader.as_mut() else {
+            return;
+        };
+        if leader.store.revision == 0 || leader.store.revision >= revision {
+            leader.behind_since = None;
+            return;
+        }
+        let behind_since = *leader.behind_since.get_or_insert(now);
+        let may_catch_up = now.since(behind_since) < LACKING_ENTRIES_TIME;
+        let (sent_at, sent_revision) = self.entries_sent;
+        let was_sent = sent_revision == revision && now.since(sent_at) < ENTRIES_REPEAT_TIME;
+        if (may_catch_up && !leader.store.is_lost) || was_sent {
+            return;
+        }
+        let rows = self.registered_upstreams.rows_above(leader.store.revision, MAX_SENT_ENTRIES);
+        let message = PeerMessage::Entries(rows);
+        effects.push(HostEffect::send(leader.identity.clone(), message));
+        self.entries_sent = (now, revision);
+    }
+
+    /// Applies the entries of upstreams that another host knows, if this host leads its scope.
+    pub(super) fn handle_entries(
+        &mut self,
+        now: Moment,
+        from: &HostIdentity,
+        rows: &[RegistryRow],
+        effects: &mut Vec<HostEffect>,
+    ) {
+        if from.scope != self.me.scope || self.placement.is_none() {
+            return;
+        }
+        let directory = &self.registered_upstreams;
+        let changes = rows.iter().map(RegistryRow::change);
+        let changes: Vec<RegistryChange> =
+            changes.filter(|change| directory.is_newer(change)).collect();
+        if !changes.is_empty() {
+            self.apply_registry_changes(now, changes, effects);
+        }
+    }
+
     /// Removes an upstream and its replicas from the members, the catalog and the view. What its
     /// process said stays known, as the entry may return.
     fn unregister_upstream(&mut self, name: &str) {
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -13,6 +13,7 @@
 use crate::message::LeaderNotice;
 use crate::message::PeerMessage;
 use crate::message::ProcessRow;
+use crate::message::StoreView;
 use crate::message::StoredLease;
 use crate::message::TableUpdate;
 use crate::request::RequestTarget;
@@ -40,6 +41,7 @@
     /// Sends due messages: as leader to the scope's hosts and to other scopes, else to the leader.
     pub(super) fn send_notices(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         if self.placement.is_none() {
+            self.send_lacking_entries(now, effects);
             self.send_demand_notice(now, effects);
             return;
         }
@@ -144,6 +146,10 @@
             quarantine: self.quarantine_table(now, true),
             hosts: self.host_count().unwrap_or(0) as u32,
             lease: self.lease.stored(),
+            store: StoreView {
+                revision: self.registered_upstreams.revision(),
+                is_lost: self.is_store_lost,
+            },
         }
     }
 
@@ -229,8 +235,14 @@
             self.limit_leader_replaced();
             self.crashes.report_all(now);
         }
-        self.leader =
-            Some(LeaderContact { identity: from.clone(), epoch: notice.epoch, last_message: now });
+        let behind_since = self.leader.as_ref().filter(|_| same_leader);
+        self.leader = Some(LeaderContact {
+            behind_since: behind_since.and_then(|leader| leader.behind_since),
+            identity: from.clone(),
+            epoch: notice.epoch,
+            last_message: now,
+            store: notice.store,
+        });
         self.lease.record_epoch(notice.epoch);
         self.declined = self.assets_named(&notice.declined);
         self.leader_successors = notice.successors;
@@ -287,6 +299,13 @@
         })
     }
 
+    /// Whether another host leads this scope, is alive and follows the platform's store, so that this
+    /// host need not ask the store for changes as often.
+    pub fn has_informed_leader(&self, now: Moment) -> bool {
+        let is_lost = self.leader.as_ref().is_some_and(|leader| leader.store.is_lost);
+        self.has_live_leader(now) && !is_lost
+    }
+
     /// Keys of the named assets that are in this configuration.
     pub(super) fn assets_named(&self, names: &[String]) -> BTreeSet<AssetKey> {
         names.iter().filter_map(|name| self.catalog.asset_named(name)).collect()
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -32,6 +32,7 @@
 use crate::membership::MemberDirectory;
 use crate::message::PeerEnvelope;
 use crate::message::PeerMessage;
+use crate::message::StoreView;
 use crate::placement::PlacementContext;
 use crate::placement::PlacementState;
 use crate::placement::UsageTable;
@@ -76,6 +77,10 @@
     pub(super) epoch: u64,
     /// When its latest message arrived.
     pub(super) last_message: Moment,
+    /// How far it follows the platform's store, as it last said.
+    pub(super) store: StoreView,
+    /// Since when this host has known entries of upstreams that the leader does not know.
+    pub(super) behind_since: Option<Moment>,
 }
 
 /// State machine that takes all decisions of one entry host, without I/O or a clock of its own.
@@ -140,6 +145,10 @@
     pub(super) declined: BTreeSet<AssetKey>,
     /// Upstreams that registered themselves with the platform.
     pub(super) registered_upstreams: RegistryDirectory,
+    /// Whether the last call to follow the platform's store failed.
+    pub(super) is_store_lost: bool,
+    /// Entries that were last sent to a leader which lacks them: when, and their highest revision.
+    pub(super) entries_sent: (Moment, u64),
     /// When a sweep first found the entry of a registered process missing.
     pub(super) missing_since: SecondaryMap<UpstreamKey, Moment>,
     /// The configuration in force, and where it came from.
@@ -208,6 +217,8 @@
             retry_demand_until: BTreeMap::new(),
             declined: BTreeSet::new(),
             registered_upstreams: RegistryDirectory::new(table_seed),
+            is_store_lost: false,
+            entries_sent: (Moment::default(), 0),
             missing_since: SecondaryMap::new(),
             configuration_origin: ConfigurationOrigin::default(),
             next_configuration_read: now,
@@ -285,7 +296,11 @@
             HostEvent::SoftwareRecord(version, value) => {
                 self.apply_software_record(now, version, &value, effects);
             }
-            HostEvent::StoreSeen(at) => self.store_seen(now, at),
+            HostEvent::StoreSeen(at) => {
+                self.set_store_lost(false);
+                self.store_seen(now, at);
+            }
+            HostEvent::StoreLost => self.set_store_lost(true),
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, STORE_SOURCE, effects);
@@ -383,6 +398,7 @@
         match envelope.message {
             PeerMessage::Leader(notice) => self.handle_leader_notice(now, from, notice, effects),
             PeerMessage::Demand(notice) => self.handle_demand_notice(now, from, notice, effects),
+            PeerMessage::Entries(rows) => self.handle_entries(now, &from, &rows, effects),
             PeerMessage::Digest(digest) => self.handle_digest(now, from, digest, effects),
             PeerMessage::Permit(grant) => self.handle_permit_grant(now, &from, &grant, effects),
             PeerMessage::LeaderHint { leader } => self.handle_leader_hint(leader),
@@ -579,7 +595,13 @@
         self.software_leadership_changed(now);
         if let Some(epoch) = held_epoch {
             let last_message = now;
-            self.leader = Some(LeaderContact { identity: self.me.clone(), epoch, last_message });
+            self.leader = Some(LeaderContact {
+                identity: self.me.clone(),
+                epoch,
+                last_message,
+                store: StoreView::default(),
+                behind_since: None,
+            });
         } else if self.leader.as_ref().is_some_and(|leader| leader.identity == self.me) {
             self.leader = None;
         }
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::configuration::ConfigurationChange;
+use crate::discovery::RegistryRow;
 use crate::discovery::RegistryUpdate;
 use crate::identity::HostIdentity;
 use crate::lease::LeaseRecord;
@@ -330,6 +331,27 @@
     /// The leader's lease as last stored; `None` from hosts of earlier builds.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub lease: Option<StoredLease>,
+    /// What the leader knows of the platform's store; the default from hosts of earlier builds.
+    #[serde(rename = "v", default, skip_serializing_if = "StoreView::is_empty")]
+    pub store: StoreView,
+}
+
+/// How far a host follows the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct StoreView {
+    /// Highest revision among the entries of upstreams that it knows; 0 if it knows none.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Whether its last call to follow the store failed.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_lost: bool,
+}
+
+impl StoreView {
+    /// Whether the view is the default one, which says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 /// Lease record with its version in the key-value service.
@@ -423,6 +445,9 @@
     Leader(LeaderNotice),
     /// Report of a host to its leader.
     Demand(DemandNotice),
+    /// Entries of upstreams that the sender knows and its leader does not, because the leader cannot
+    /// read the platform's store.
+    Entries(Vec<RegistryRow>),
     /// Report of a leader to the leader of another scope.
     Digest(ScopeDigest),
     /// Reply to a digest by a host that is not a leader.
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -31,6 +31,7 @@
 use wagtailledge_decisions::message::PeerEnvelope;
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::QuarantineTable;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::request::RecordedAnswer;
 use wagtailledge_decisions::request::RequestRepeat;
@@ -462,6 +463,7 @@
         quarantine: QuarantineTable::default(),
         hosts: 2,
         lease: None,
+        store: StoreView::default(),
     }
 }
 
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -14,6 +14,7 @@
 use wagtailledge_decisions::message::LimitTable;
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::QuarantineTable;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::StoredLease;
 use wagtailledge_decisions::message::TableUpdate;
 
@@ -110,6 +111,7 @@
         quarantine: QuarantineTable::default(),
         hosts: 0,
         lease,
+        store: StoreView::default(),
     })
 }
 
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -32,6 +32,7 @@
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::PermitGrant;
 use wagtailledge_decisions::message::QuarantineTable;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::message::WaitRow;
 use wagtailledge_decisions::order::OrderKind;
@@ -151,6 +152,7 @@
         quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: None,
+        store: StoreView::default(),
     }
 }
 
--- a/components/decisions/tests/quarantine.rs
+++ b/components/decisions/tests/quarantine.rs
@@ -28,6 +28,7 @@
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::message::QuarantineRow;
 use wagtailledge_decisions::message::QuarantineTable;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::quarantine::CrashLog;
@@ -285,6 +286,7 @@
         quarantine,
         hosts: 0,
         lease: None,
+        store: StoreView::default(),
     }));
 }
 
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::request::CallerRequest;
@@ -146,6 +147,7 @@
             quarantine: QuarantineTable::default(),
             hosts: 0,
             lease: None,
+            store: StoreView::default(),
         };
         host.receive(PeerMessage::Leader(notice));
         host.effects.clear();
--- a/components/decisions/tests/table_sync.rs
+++ b/components/decisions/tests/table_sync.rs
@@ -22,6 +22,7 @@
 use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::ReplicaRow;
 use wagtailledge_decisions::message::ReplicaState;
+use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
 
@@ -63,6 +64,7 @@
         quarantine: QuarantineTable::default(),
         hosts: 0,
         lease: None,
+        store: StoreView::default(),
     })
 }
 
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -19,3 +19,4 @@
 pub use stack::FleetStack;
 pub use store::FleetStore;
 pub use store::StoreCopy;
+pub use store::StoreGate;
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -10,6 +10,7 @@
 use super::engine::FleetEngine;
 use super::service::FleetService;
 use super::store::FleetStore;
+use super::store::StoreGate;
 use crate::http::StandInServer;
 use crate::stack::HostThread;
 use crate::stack::SHARED_SECRET;
@@ -44,6 +45,8 @@
     spec: FleetSpec,
     store_server: StandInServer,
     servers: Vec<StandInServer>,
+    /// Servers of the gates to the store.
+    gates: Vec<StandInServer>,
     /// Number of engines that were replaced so far.
     replacements: u64,
 }
@@ -64,6 +67,7 @@
             spec,
             store_server,
             servers: Vec::new(),
+            gates: Vec::new(),
             replacements: 0,
         };
         stack.configure(1, json!([]));
@@ -126,6 +130,15 @@
 
     /// Writes the store entry of every engine and service instance.
     pub fn register(&self) {
+        self.register_with(|_| "ready");
+    }
+
+    /// Writes the store entries again; that of the upstream `name` says that it is leaving.
+    pub fn announce_leaving(&self, name: &str) {
+        self.register_with(|other| if other == name { "draining" } else { "ready" });
+    }
+
+    fn register_with(&self, state_of: impl Fn(&str) -> &'static str) {
         let engines = self.engines.iter();
         let engines =
             engines.map(|engine| (engine.name(), "llm", engine.software(), engine.models()));
@@ -135,7 +148,7 @@
         {
             let entry = json!({
                 "service": service, "address": server.address().to_string(), "zone": "east",
-                "version": version, "slots": 64, "state": "ready", "models": models,
+                "version": version, "slots": 64, "state": state_of(name), "models": models,
                 "sequence": 1, "born": 1
             });
             self.store.put(&format!("servers/{name}"), entry.to_string().as_bytes());
@@ -206,6 +219,22 @@
         self.add_host_with(&self.settings_text(name).replace("[platform]", &bounds));
     }
 
+    /// Starts another entry host that reaches the store through a gate of its own, and at which changes
+    /// in the store must take effect within `bound` seconds.
+    ///
+    /// # Panics
+    /// When the host does not start.
+    pub fn add_gated_host(&mut self, name: &str, bound: u32) -> StoreGate {
+        let gate = self.store.gate();
+        let server = gate.start();
+        let bounds = format!("[platform]\nchange_bounds = [\"{bound}s\"]");
+        let text = self.settings_text(name).replace("[platform]", &bounds);
+        let address = self.store_server.address().to_string();
+        self.add_host_with(&text.replace(&address, &server.address().to_string()));
+        self.gates.push(server);
+        gate
+    }
+
     fn add_host_with(&mut self, text: &str) {
         let settings = parse_settings("fleet stack", text).expect("the settings are valid");
         self.hosts.push(HostThread::start_with(settings, |settings| {
