Forget upstreams that left while their host could not read the store

Requests went to an engine that was long gone: a host that had learned of the engine only from its leader, and returned to a store whose history was dropped, never learned that the entry had been removed.

A complete read of the store is compared with what was read before, to tell what is gone. The list of that was kept by the reader of the store and did not have what came from other hosts.

--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Names of the registered upstreams whose entries are there.
+    pub fn registered_names(&self) -> impl Iterator<Item = &str> {
+        self.registered_upstreams.present().map(|upstream| upstream.name.as_str())
+    }
+
     /// Removes an upstream and its replicas from the members, the catalog and the view. What its
     /// process said stays known, as the entry may return.
     fn unregister_upstream(&mut self, name: &str) {
--- a/tests/leaving_entries.rs
+++ b/tests/leaving_entries.rs
@@ -142,3 +142,38 @@
         assert!(last.iter().all(|after| *after <= bound), "{last:?}");
     });
 }
+
+/// Guards against an upstream that a host knows only from others and never learns to be gone.
+#[test]
+fn can_forget_an_upstream_that_left_while_the_host_could_not_read_the_store() {
+    run(async {
+        let (mut stack, gates) = gated_stack().await;
+        let leader = leader_of(&stack).await.unwrap();
+        let other = usize::from(leader == 0);
+        gates[other].set_refusing(true);
+        let engine = stack.add_engine(&["m0"]);
+        stack.register();
+        let asked = stack
+            .wait_until(WAIT_LIMIT, async |stack| {
+                ask(stack, other, "m0", "told").await;
+                !engine.arrivals().is_empty()
+            })
+            .await;
+        assert!(asked, "the host does not learn of the engine");
+        // Nobody is left who knows that the engine was there, and nothing in the history tells it.
+        let address = stack.hosts[other].caller_address;
+        for host in (0..HOSTS).rev().filter(|host| *host != other) {
+            stack.hosts.remove(host);
+        }
+        stack.store.remove(&format!("servers/{}", engine.name()));
+        stack.store.compact();
+        gates[other].set_refusing(false);
+        actix_rt::time::sleep(OBSERVED_TIME).await;
+        let before = engine.arrivals().len();
+        let headers = "X-Model: m0\r\nX-Token-Count: 100,20\r\n";
+        for number in 0..40 {
+            send(address, "POST", "/ask/1", &format!("after-{number}"), headers).await;
+        }
+        assert_eq!(engine.arrivals().len(), before);
+    });
+}
