--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -12,6 +12,7 @@
 use support::WAIT_LIMIT;
 use support::ask;
 use support::exchange;
+use support::is_framed_as_complete;
 use support::ready_stack;
 use support::ready_stack_of;
 use support::run;
@@ -128,15 +129,6 @@
     });
 }
 
-/// Whether the framing of an answer says that its body is complete.
-fn is_framed_as_complete(answer: &RawAnswer) -> bool {
-    let length = answer.header("content-length").and_then(|text| text.parse::<usize>().ok());
-    match length {
-        Some(length) => answer.body.len() == length,
-        None => answer.body.ends_with("0\r\n\r\n"),
-    }
-}
-
 /// Configures the route `/tell/`, whose streams cannot be resumed, and waits until it is in force.
 async fn add_route_without_resume(stack: &FleetStack) {
     let added = json!([{
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -101,3 +101,12 @@
     assert!(ready, "the hosts are not ready");
     stack
 }
+
+/// Whether the framing of an answer says that its body is complete.
+pub fn is_framed_as_complete(answer: &RawAnswer) -> bool {
+    let length = answer.header("content-length").and_then(|text| text.parse::<usize>().ok());
+    match length {
+        Some(length) => answer.body.len() == length,
+        None => answer.body.ends_with("0\r\n\r\n"),
+    }
+}
