Send nothing late in a planned stop, and answer what outlasts it

Callers of a host that was stopped got no answer at all if their request was still running at the end of the grace, also for requests that may run only once. Requests that waited or came back from an upstream were sent up to 0.8 s before the exit.

Nothing is sent any more when a third of the time between the notice and the exit is left: requests that wait, arrive or come back are refused, as not run unless they may have run, and other hosts can serve them. Just before the exit, callers without a reply are answered 502, which promises nothing.

--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -215,6 +215,7 @@
     RetryRules(RetryRules),
     /// This process must shut down: it starts to drain.
     Drain,
-    /// The drain time is over and this process is about to exit: waiting requests are refused.
+    /// The drain time is over and this process is about to exit: waiting requests are refused, and so
+    /// are those that arrive or return from an upstream.
     DrainOver,
 }
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -123,6 +123,10 @@
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Quarantined, effects);
             return;
         }
+        if self.is_drain_over {
+            self.refuse(key, RefusalOutcome::NotRun, RefusalReason::HostEnds, effects);
+            return;
+        }
         self.dispatch_waiting(now, target, effects);
         if !self.requests.get(key).is_some_and(|request| request.stage == RequestStage::Waiting) {
             return;
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -157,6 +157,8 @@
     pub(super) next_configuration_request: Moment,
     pub(super) next_sweep: Moment,
     pub(super) draining: bool,
+    /// Whether nothing is sent to upstreams any more, because this process is about to exit.
+    pub(super) is_drain_over: bool,
     /// Whether this host, if it leads, has something to send before the next regular check.
     pub(super) notices_due: bool,
     /// Version of the replica table at the last check for due messages.
@@ -225,6 +227,7 @@
             next_configuration_request: now,
             next_sweep: now,
             draining: false,
+            is_drain_over: false,
             notices_due: true,
             notified_version: 0,
             next_notice_check: now,
@@ -317,7 +320,10 @@
                 self.apply_host_list(now, requested, &hosts, effects);
             }
             HostEvent::RetryRules(rules) => self.retry_budget.set_rules(rules),
-            HostEvent::DrainOver => self.refuse_waiting(effects),
+            HostEvent::DrainOver => {
+                self.is_drain_over = true;
+                self.refuse_waiting(effects);
+            }
             HostEvent::Drain => {
                 self.draining = true;
                 self.lease.drain();
--- a/components/decisions/tests/admission.rs
+++ b/components/decisions/tests/admission.rs
@@ -119,4 +119,11 @@
     host.submit(HostEvent::DrainOver);
     let refusal = (waiting, RefusalOutcome::NotRun, RefusalReason::HostEnds);
     assert_eq!(host.refusals(), [refusal], "running requests continue");
+    // Others could not end in time: one that arrives, and one that its upstream did not run.
+    let late = host.request_model("heat", 2, 20_000);
+    host.end_attempt(0, AttemptOutcome::NotRun { misplaced: false });
+    let refused = [waiting, late, running[0]];
+    let refusals = refused.map(|ticket| (ticket, RefusalOutcome::NotRun, RefusalReason::HostEnds));
+    assert_eq!(host.refusals(), refusals);
+    assert_eq!(host.dispatched_tickets(), running);
 }
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -121,6 +121,12 @@
         Some(live.call.arrived.elapsed())
     }
 
+    /// Tickets of the calls whose callers have got no reply.
+    pub fn unanswered(&self) -> Vec<RequestTicket> {
+        let calls = self.calls.iter().filter(|(_, live)| live.responder.is_some());
+        calls.map(|(ticket, _)| *ticket).collect()
+    }
+
     /// Removes and returns the calls for which `is_open` is false.
     pub fn remove_ended(&mut self, is_open: impl Fn(RequestTicket) -> bool) -> Vec<LiveCall> {
         let ended: Vec<RequestTicket> =
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -132,7 +132,7 @@
 }
 
 /// Refusal of a call by a host that can't decide on it any more.
-fn host_ends(outcome: RefusalOutcome) -> CallerRefusal {
+pub(crate) fn host_ends(outcome: RefusalOutcome) -> CallerRefusal {
     let reason = RefusalReason::HostEnds;
     CallerRefusal { outcome, reason, retry_after: RETRY_AFTER_FAILURE }
 }
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -46,9 +46,13 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Draining stops this long before the drain grace is over, so that the process ends in time.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
-/// Waiting requests are refused this long before draining stops, so that the refusals can still
-/// be sent.
+/// Nothing is sent to upstreams any more when this share of the time between the notice and the exit is
+/// left: its answer could be cut, and other hosts can serve it.
+const REFUSAL_SHARE: u32 = 3;
+/// Shortest time between the refusal of waiting requests and the exit, in which the refusals are sent.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the last answers to leave before the process exits.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Maximum wait for callers to read the rest of their answers.
 const FLUSH_LIMIT: Duration = Duration::from_secs(30);
 /// Maximum wait for outcomes to be recorded while the key-value service is unreachable.
@@ -254,8 +258,9 @@
         let drain = self.drain.get();
         let grace = drain.grace.0.saturating_sub(EXIT_MARGIN);
         let shell = Rc::clone(&self.shell);
+        let refusal_time = grace.saturating_sub(drain.notice.0) / REFUSAL_SHARE;
         actix_rt::spawn(async move {
-            sleep(grace.saturating_sub(REFUSAL_MARGIN)).await;
+            sleep(grace.saturating_sub(refusal_time.max(REFUSAL_MARGIN))).await;
             shell.submit(HostEvent::DrainOver);
         });
         let finished = async {
@@ -270,6 +275,8 @@
                 "drain grace of {:?} over: ending with {} open requests, {} unrecorded outcomes",
                 drain.grace.0, status.requests, status.unrecorded
             );
+            self.shell.end_unanswered_calls();
+            sleep(LAST_ANSWERS_TIME).await;
         }
     }
 
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -21,6 +21,8 @@
 use wagtailledge_decisions::Moment;
 use wagtailledge_decisions::TimingRules;
 use wagtailledge_decisions::host::HostStatus;
+use wagtailledge_decisions::request::RefusalOutcome;
+use wagtailledge_frontend::CallerReply;
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_keyvalue::KeyValueService;
 use wagtailledge_peers::PeerClient;
@@ -28,6 +30,7 @@
 use wagtailledge_upstreams::UpstreamCaller;
 
 use crate::calls::CallTable;
+use crate::gate::host_ends;
 use crate::metrics::HostMetrics;
 
 /// Load is polled only from upstreams to which this host sent a request within this time.
@@ -155,6 +158,15 @@
         }
     }
 
+    /// Tells callers without a reply that this process ends, and that their calls may have run.
+    pub fn end_unanswered_calls(&self) {
+        let mut calls = self.calls.borrow_mut();
+        for ticket in calls.unanswered() {
+            let reply = CallerReply::Refusal(host_ends(RefusalOutcome::Unknown));
+            calls.reply(ticket, reply);
+        }
+    }
+
     /// Whether this host can no longer decide anything, so that its process must end.
     pub fn has_failed(&self) -> bool {
         self.has_failed.get()
