Take over from a holder and successors that the host list no longer names

After the holder of the lease and both successors were gone for good, no host led for 993 s: only a successor may release its promises, and nobody else knew that they could not hold.

Hosts are in the platform's host list by a key under a lease of 6 s. If the list, read without a failure in between, names neither the holder nor a successor for 4 s, which is longer than a live host needs to write its key again, another host takes over without their consent. A holder that is cut off together with its successors may then still order in its own zone; so this is limited to platforms whose engines refuse outdated fencing tokens, where its orders lose against those of the next epoch.

--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -301,9 +301,13 @@
             }
             HostEvent::StoreSeen(at) => {
                 self.set_store_lost(false);
+                self.lease.record_list(at, &self.me, &self.members);
                 self.store_seen(now, at);
             }
-            HostEvent::StoreLost => self.set_store_lost(true),
+            HostEvent::StoreLost => {
+                self.lease.record_list_lost();
+                self.set_store_lost(true);
+            }
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, STORE_SOURCE, effects);
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -101,6 +101,11 @@
     /// Epoch and version of the lease record for which a successor last confirmed that its promises
     /// have expired.
     released_record: Option<(u64, u64)>,
+    /// Since when the platform's host list has named neither the holder of the observed record nor any of
+    /// its successors, without a failed read in between; `None` if it names one.
+    unlisted_since: Option<Moment>,
+    /// When the latest host list was requested.
+    listed_at: Moment,
     /// Highest epoch of any record or holder that this process heard of. The key-value service may have
     /// lost that record, but its holder's orders have used the epoch.
     highest_epoch: u64,
@@ -122,6 +127,8 @@
             takeover_at: None,
             pending_takeover: None,
             released_record: None,
+            unlisted_since: None,
+            listed_at: now,
             highest_epoch: 0,
             draining: false,
         }
@@ -271,7 +278,11 @@
         if context.now < expired_at {
             return false;
         }
+        let is_unlisted = timing.unlisted_takeover.is_some_and(|time| {
+            self.unlisted_since.is_some_and(|since| self.listed_at.since(since) >= time)
+        });
         if record.successors.is_empty()
+            || is_unlisted
             || context.now >= expired_at.after(timing.max_extension * 11 / 10)
         {
             return true;
@@ -372,6 +383,23 @@
         Some(StoredLease { version: held.version, record: held.record.clone() })
     }
 
+    /// Records that `members` has the platform's host list as of `at`.
+    pub fn record_list(&mut self, at: Moment, me: &HostIdentity, members: &MemberDirectory) {
+        self.listed_at = at;
+        let observed = self.observed.as_ref().and_then(|observed| observed.record.as_ref());
+        let is_unlisted = observed.is_some_and(|record| {
+            let mut named = record.successors.iter().chain([&record.holder]);
+            named.all(|host| host.name != me.name && !members.is_listed(&host.name))
+        });
+        self.unlisted_since =
+            if is_unlisted { Some(self.unlisted_since.unwrap_or(at)) } else { None };
+    }
+
+    /// Records that the platform's host list could not be read.
+    pub fn record_list_lost(&mut self) {
+        self.unlisted_since = None;
+    }
+
     /// Records an epoch that a host of the scope has held the lease in.
     pub fn record_epoch(&mut self, epoch: u64) {
         self.highest_epoch = self.highest_epoch.max(epoch);
@@ -424,6 +452,7 @@
             return;
         }
         self.takeover_at = None;
+        self.unlisted_since = None;
         let stored_takeover = self
             .pending_takeover
             .take()
--- a/components/decisions/src/membership/mod.rs
+++ b/components/decisions/src/membership/mod.rs
@@ -140,6 +140,11 @@
         names.filter_map(|name| self.members.get(name))
     }
 
+    /// Whether the latest host list names the entry host, or none has arrived.
+    pub fn is_listed(&self, name: &str) -> bool {
+        !self.is_listed || self.members.get(name).is_some_and(|record| record.listed.is_some())
+    }
+
     /// Number of other entry hosts that are listed or have sent a message; `None` before the first
     /// host list.
     pub fn count(&self) -> Option<usize> {
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -25,6 +25,10 @@
     pub promise_ttl: Duration,
     /// Maximum time for which promises may extend a lease after its last renewal.
     pub max_extension: Duration,
+    /// Time for which the platform's host list must have named neither the holder of a lease nor its
+    /// successors before another host takes over without their consent; `None` where engines do not
+    /// refuse outdated fencing tokens.
+    pub unlisted_takeover: Option<Duration>,
     /// Time after which an order that was written to a socket can no longer be carried out.
     pub order_lifetime: Duration,
     /// Interval between two claim orders to an engine that is loading.
@@ -59,6 +63,7 @@
             lease_margin: Duration::from_millis(500),
             promise_ttl: Duration::from_secs(5),
             max_extension: Duration::from_secs(900),
+            unlisted_takeover: None,
             order_lifetime: Duration::from_secs(3),
             loading_claim: Duration::from_millis(150),
             idle_claim: Duration::from_secs(2),
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -154,6 +154,46 @@
     }
 }
 
+/// What the platform's host list says of the holder `east-2` and its only successor `east-3`, while
+/// neither sends a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ListCase {
+    Unlisted,
+    SuccessorListed,
+    /// Every second read of the list fails.
+    SometimesLost,
+    NotChecked,
+}
+
+/// Epoch of the lease after its holder and successor were silent for 30 s.
+fn epoch_after_silence(case: ListCase) -> u64 {
+    let unlisted_takeover = (case != ListCase::NotChecked).then_some(Duration::from_secs(4));
+    let timing = TimingRules { unlisted_takeover, ..TimingRules::default() };
+    let host = support::TestHost::with_timing(INVENTORY, timing);
+    let mut leader = TestLeader::of_host(host);
+    let successors = vec![support::identity("east-3")];
+    let record = LeaseRecord { successors, ..other_record(1) };
+    leader.store_value("lease/east", &record.to_value());
+    leader.submit(HostEvent::Lease(1, record.to_value()));
+    leader.list_host(if case == ListCase::SuccessorListed { "east-3" } else { "east-4" }, 0);
+    for read in 0..30 {
+        let is_lost = case == ListCase::SometimesLost && read % 2 == 1;
+        let at = leader.host.now;
+        leader.submit(if is_lost { HostEvent::StoreLost } else { HostEvent::StoreSeen(at) });
+        leader.advance(1_000);
+    }
+    stored_lease(&leader).epoch
+}
+
+/// Guards against a scope without a leader after the holder and its successors are gone for good.
+#[test]
+fn can_take_over_when_the_host_list_names_neither_holder_nor_successors() {
+    assert_eq!(epoch_after_silence(ListCase::Unlisted), 2);
+    for case in [ListCase::SuccessorListed, ListCase::SometimesLost, ListCase::NotChecked] {
+        assert_eq!(epoch_after_silence(case), 1, "{case:?}: a successor's promise may hold");
+    }
+}
+
 /// Time from the last message of a leader until this host takes over.
 fn takeover_time(source: LeaseSource) -> Duration {
     let record = other_record(1);
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -44,6 +44,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two sweeps of ended calls and idle connections. Gauges are sent after each sweep.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which the holder of a lease and its successors must be missing from the host list before
+/// another host takes over: longer than a live host needs to write its key again.
+const UNLISTED_TAKEOVER: Duration = Duration::from_secs(4);
 /// Draining stops this long before the drain grace is over, so that the process ends in time.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Nothing is sent to upstreams any more when this share of the time between the notice and the exit is
@@ -173,6 +176,7 @@
             // The store announces each configuration, so none is polled.
             timing.configuration_read = None;
             timing.change_bound = Some(settings.platform.change_bound());
+            timing.unlisted_takeover = settings.platform.checks_tokens.then_some(UNLISTED_TAKEOVER);
         }
         timing.check().map_err(StartError::Timing)?;
         let seal = MessageSeal::new(&settings.security.shared_secret);
