--- a/components/decisions/src/discovery/directory.rs
+++ b/components/decisions/src/discovery/directory.rs
@@ -145,10 +145,12 @@
         known.map_or(is_present, |entry| entry.revision < revision)
     }
 
-    /// Entries with a platform revision above `revision`, deleted ones included, at most `limit`.
+    /// The entries that follow the platform revision `revision`, deleted ones included, at most `limit`.
     pub fn rows_above(&self, revision: u64, limit: usize) -> Vec<RegistryRow> {
         let newer = self.entries.iter().filter(|(_, entry)| entry.revision > revision);
-        newer.take(limit).map(|(name, entry)| entry.row(name)).collect()
+        let mut newer: Vec<_> = newer.collect();
+        newer.sort_unstable_by_key(|(_, entry)| entry.revision);
+        newer.into_iter().take(limit).map(|(name, entry)| entry.row(name)).collect()
     }
 
     /// Version of this process's directory.
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -19,6 +19,7 @@
 use crate::time::Moment;
 
 use super::refusals::reason_text;
+use super::state::DrainStage;
 use super::state::HostReducer;
 use crate::admission::queue_key;
 
@@ -123,7 +124,7 @@
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Quarantined, effects);
             return;
         }
-        if self.is_drain_over {
+        if self.drain == DrainStage::Over {
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::HostEnds, effects);
             return;
         }
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -205,7 +205,7 @@
             limits,
             crash_report,
             leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
-            draining: self.draining,
+            draining: self.is_draining(),
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
     }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -83,6 +83,17 @@
     pub(super) behind_since: Option<Moment>,
 }
 
+/// How far a process has shut down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DrainStage {
+    /// It takes requests.
+    Serving,
+    /// It says that it is leaving, and completes requests.
+    Draining,
+    /// It is about to exit, and sends nothing to upstreams any more.
+    Over,
+}
+
 /// State machine that takes all decisions of one entry host, without I/O or a clock of its own.
 #[derive(Debug, Clone)]
 pub struct HostReducer {
@@ -156,9 +167,8 @@
     pub(super) next_configuration_read: Moment,
     pub(super) next_configuration_request: Moment,
     pub(super) next_sweep: Moment,
-    pub(super) draining: bool,
-    /// Whether nothing is sent to upstreams any more, because this process is about to exit.
-    pub(super) is_drain_over: bool,
+    /// How far this process has shut down.
+    pub(super) drain: DrainStage,
     /// Whether this host, if it leads, has something to send before the next regular check.
     pub(super) notices_due: bool,
     /// Version of the replica table at the last check for due messages.
@@ -226,8 +236,7 @@
             next_configuration_read: now,
             next_configuration_request: now,
             next_sweep: now,
-            draining: false,
-            is_drain_over: false,
+            drain: DrainStage::Serving,
             notices_due: true,
             notified_version: 0,
             next_notice_check: now,
@@ -325,11 +334,11 @@
             }
             HostEvent::RetryRules(rules) => self.retry_budget.set_rules(rules),
             HostEvent::DrainOver => {
-                self.is_drain_over = true;
+                self.drain = DrainStage::Over;
                 self.refuse_waiting(effects);
             }
             HostEvent::Drain => {
-                self.draining = true;
+                self.drain = DrainStage::Draining;
                 self.lease.drain();
                 self.lease_tick(now, effects);
                 self.leader_sync.dirty = true;
--- a/components/decisions/src/host/status.rs
+++ b/components/decisions/src/host/status.rs
@@ -7,6 +7,7 @@
 use crate::request::RequestKey;
 use crate::time::Moment;
 
+use super::state::DrainStage;
 use super::state::HostReducer;
 
 /// One replica in a host's view.
@@ -76,7 +77,7 @@
             leader: leader.map(|leader| leader.identity.name.clone()),
             epoch: leader.map_or(0, |leader| leader.epoch),
             authority: self.lease.authority(now).is_some(),
-            draining: self.draining,
+            draining: self.is_draining(),
             waiting: self.queue.len(),
             requests: self.requests.len(),
             unrecorded: self.ledger.unrecorded(),
@@ -97,12 +98,12 @@
 
     /// Whether this host can serve: it has a configuration and is not draining.
     pub fn is_ready(&self) -> bool {
-        self.catalog.revision > 0 && !self.draining
+        self.catalog.revision > 0 && !self.is_draining()
     }
 
     /// Whether this process is draining before its shutdown.
     pub fn is_draining(&self) -> bool {
-        self.draining
+        self.drain != DrainStage::Serving
     }
 
     fn replica_statuses(&self) -> Vec<ReplicaStatus> {
--- a/components/decisions/tests/store_views.rs
+++ b/components/decisions/tests/store_views.rs
@@ -161,6 +161,21 @@
     assert_eq!(sent_entries(&host), [("vents-1".to_owned(), 8)]);
 }
 
+/// Guards against entries that the leader never gets because those with other names were sent first.
+#[test]
+fn can_send_a_leader_many_entries_in_the_order_of_their_revisions() {
+    let mut host = TestHost::with_inventory(INVENTORY);
+    host.receive(notice(StoreView { revision: 1, is_lost: true }));
+    for number in 0..600 {
+        let name = format!("vents-{:04}", 1_000 - number);
+        host.submit(entry(&name, ListedState::Leaving, 2 + number));
+    }
+    host.advance(20);
+    let revisions: Vec<u64> = sent_entries(&host).iter().map(|(_, revision)| *revision).collect();
+    assert!(revisions.iter().copied().eq(2..2 + revisions.len() as u64), "{revisions:?}");
+    assert!(!revisions.is_empty());
+}
+
 /// Number of ten requests that go to an upstream.
 fn requests_to(leader: &mut TestLeader, upstream: &str) -> usize {
     let service = leader.host.reducer.catalog().service_named("vents").unwrap();
--- a/components/upstreams/src/budget.rs
+++ b/components/upstreams/src/budget.rs
@@ -46,14 +46,16 @@
     /// Makes the share fit an answer of which `held` bytes are held. Returns false, and changes nothing,
     /// if the budget does not have that much.
     pub fn resize(&mut self, held: usize) -> bool {
-        let wanted = held.saturating_sub(FREE_BYTES);
-        let others = self.budget.used() - self.taken;
-        if wanted > self.taken && others.saturating_add(wanted) > self.budget.limit {
-            return false;
+        let (wanted, taken) = (held.saturating_sub(FREE_BYTES), self.taken);
+        let limit = self.budget.limit;
+        let resized = self.budget.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
+            let used = (used - taken).saturating_add(wanted);
+            (wanted <= taken || used <= limit).then_some(used)
+        });
+        if resized.is_ok() {
+            self.taken = wanted;
         }
-        self.budget.used.store(others + wanted, Ordering::Relaxed);
-        self.taken = wanted;
-        true
+        resized.is_ok()
     }
 
     /// Binds the share to `bytes`, so that it is returned when they are dropped.
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -8,6 +8,7 @@
 use support::exchange;
 use support::ready_stack;
 use support::run;
+use wagtailledge_standins::fleet::FleetService;
 use wagtailledge_standins::fleet::ServiceBehavior;
 
 /// Time from the stop signal until the process must have ended.
@@ -40,7 +41,7 @@
             assert_eq!(answer.status, 502, "{answer:?}");
         }
         assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
-        let runs = stack.services.iter().flat_map(|service| service.runs());
+        let runs = stack.services.iter().flat_map(FleetService::runs);
         assert_eq!(runs.filter(|id| id == "act").count(), 1);
     });
 }
