Deliver the entries of a test in one read of the store

A read of the store delivers them together. The test now demands exactly the first 500 in order; before, any number of them.

--- a/components/decisions/tests/store_views.rs
+++ b/components/decisions/tests/store_views.rs
@@ -166,14 +166,15 @@
 fn can_send_a_leader_many_entries_in_the_order_of_their_revisions() {
     let mut host = TestHost::with_inventory(INVENTORY);
     host.receive(notice(StoreView { revision: 1, is_lost: true }));
-    for number in 0..600 {
+    // As one read of the store delivers them.
+    let change = |number: u64| {
         let name = format!("vents-{:04}", 1_000 - number);
-        host.submit(entry(&name, ListedState::Leaving, 2 + number));
-    }
+        RegistryChange::Present(Box::new(instance(&name, ListedState::Leaving, 2 + number)))
+    };
+    host.submit(HostEvent::Registry((0..600).map(change).collect()));
     host.advance(20);
     let revisions: Vec<u64> = sent_entries(&host).iter().map(|(_, revision)| *revision).collect();
-    assert!(revisions.iter().copied().eq(2..2 + revisions.len() as u64), "{revisions:?}");
-    assert!(!revisions.is_empty());
+    assert!(revisions.iter().copied().eq(2..502), "{revisions:?}");
 }
 
 /// Number of ten requests that go to an upstream.
