--- a/review/rig-2/hosts.rs
+++ b/review/rig-2/hosts.rs
@@ -115,11 +115,6 @@
         self.process = Some(process.expect("the binary of the deploy file"));
     }
 
-    /// Process id; 0 if it does not run.
-    pub fn pid(&self) -> u32 {
-        self.process.as_ref().map_or(0, Child::id)
-    }
-
     /// Ends the process at once, as a loss of power does.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -10,7 +10,6 @@
 mod http;
 mod json;
 mod lease;
-mod memory;
 mod rare;
 mod record;
 mod store;
@@ -74,7 +73,6 @@
     let finding = match case.as_str() {
         "address" => address::run(&record, &scratch.0),
         "cut" => cut::run(&record, &scratch.0),
-        "memory" => memory::run(&record, &scratch.0),
         "lease" => lease::run(&record, &scratch.0),
         _ => Finding::CouldNotRun(format!("no case {case}")),
     };
