--- a/review/rig-2/cut.rs
+++ b/review/rig-2/cut.rs
@@ -48,7 +48,8 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-/// The process of one engine: `rig engine ID`. It writes its address to its standard output.
+/// The process of one engine: `rig engine ID`. It writes its address to its standard output, and ends with
+/// its standard input, so with the process that started it.
 pub fn run_engine(id: &str) {
     let id = id.to_owned();
     let is_garbling = id.bytes().nth(4).is_some_and(|digit| digit % 2 == 0);
@@ -58,9 +59,8 @@
         serve(&id, request, stream, || is_framed(answers.fetch_add(1, Ordering::Relaxed)))
     };
     println!("{}", http::serve(Arc::new(handler)));
-    loop {
-        std::thread::sleep(Duration::from_secs(1));
-    }
+    let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+    std::process::exit(0);
 }
 
 fn serve(
@@ -118,8 +118,9 @@
 impl EngineProcess {
     fn start(id: &str) -> Option<Self> {
         let program = std::env::current_exe().ok()?;
-        let mut process =
-            Command::new(program).args(["engine", id]).stdout(Stdio::piped()).spawn().ok()?;
+        let mut command = Command::new(program);
+        command.args(["engine", id]).stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut process = command.spawn().ok()?;
         let mut line = String::new();
         let output = process.stdout.take()?;
         std::io::BufRead::read_line(&mut std::io::BufReader::new(output), &mut line).ok()?;
