Let requests wait for the first configuration of a process

Callers of the customer with accounts saw 604 of their requests refused in the half second after two restarts of all hosts, and have a single retry each. A process knew no routes for 0.1 to 0.5 s after its start and refused what arrived meanwhile; the platform sends requests to hosts that are not ready when most of a zone is not.

[limits] startup_wait lets them wait, for a quarter of their own time at most, bounded in number and bytes.

--- a/components/decisions/src/host/status.rs
+++ b/components/decisions/src/host/status.rs
@@ -101,6 +101,11 @@
         self.catalog.revision > 0 && !self.is_draining()
     }
 
+    /// Whether a configuration is in force.
+    pub fn is_configured(&self) -> bool {
+        self.catalog.revision > 0
+    }
+
     /// Whether this process is draining before its shutdown.
     pub fn is_draining(&self) -> bool {
         self.drain != DrainStage::Serving
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -27,6 +27,7 @@
 
 use crate::calls::RetryTerms;
 use crate::shell::EntryShell;
+use crate::startup::StartupPlace;
 
 /// Retry delay of callers refused by a host that has failed: other hosts can serve them at once.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(50);
@@ -103,6 +104,21 @@
 }
 
 impl ShellGate {
+    /// Serves a call once there is a configuration, or refuses it if there is none in time.
+    fn serve_once_configured(
+        &self,
+        call: CallerCall,
+        place: StartupPlace,
+    ) -> LocalBoxFuture<'static, CallerReply> {
+        let gate = Self { shell: Rc::clone(&self.shell) };
+        async move {
+            place.wait().await;
+            drop(place);
+            gate.serve_call(call, false).await
+        }
+        .boxed_local()
+    }
+
     /// Logs the configuration by which a call has no target.
     fn log_unresolved(&self, call: &CallerCall, unresolved: &UnresolvedCall) {
         let reason = match unresolved {
@@ -137,8 +153,13 @@
     CallerRefusal { outcome, reason, retry_after: RETRY_AFTER_FAILURE }
 }
 
-impl CallerGate for ShellGate {
-    fn serve(&self, mut call: CallerCall) -> LocalBoxFuture<'static, CallerReply> {
+impl ShellGate {
+    /// Serves or refuses a call. `may_wait` says whether it may wait for the first configuration.
+    fn serve_call(
+        &self,
+        mut call: CallerCall,
+        may_wait: bool,
+    ) -> LocalBoxFuture<'static, CallerReply> {
         if self.shell.has_failed() {
             let reply = CallerReply::Refusal(host_ends(RefusalOutcome::NotRun));
             return futures::future::ready(reply).boxed_local();
@@ -146,6 +167,13 @@
         let resolved = match self.resolve(&mut call) {
             Ok(resolved) => resolved,
             Err(unresolved) => {
+                let waits = may_wait && matches!(unresolved, UnresolvedCall::Unconfigured);
+                let startup = &self.shell.startup;
+                let place = waits.then(|| startup.enter(call.body.len(), call.deadline)).flatten();
+                if let Some(place) = place {
+                    self.shell.parts.metrics.count("request.startup_wait");
+                    return self.serve_once_configured(call, place);
+                }
                 self.log_unresolved(&call, &unresolved);
                 return futures::future::ready(unresolved.into()).boxed_local();
             }
@@ -174,6 +202,12 @@
         }
         .boxed_local()
     }
+}
+
+impl CallerGate for ShellGate {
+    fn serve(&self, call: CallerCall) -> LocalBoxFuture<'static, CallerReply> {
+        self.serve_call(call, true)
+    }
 
     fn model_names(&self) -> Vec<String> {
         self.shell.read(|reducer| reducer.catalog().public_names().map(str::to_owned).collect())
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`adapters`]: the connections to the outside that an entry host is built from.
 //! - [`shell`]: the runtime, which turns I/O into events and executes effects.
+//! - [`startup`]: requests that arrive before the first configuration.
 //! - [`run`]: starts an entry host, and drains it before the process ends.
 
 pub mod adapters;
@@ -14,6 +15,7 @@
 pub mod run;
 mod scrape;
 pub mod shell;
+pub mod startup;
 
 pub use adapters::EventSource;
 pub use adapters::HostAdapters;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -203,6 +203,7 @@
             metrics,
             max_answer_bytes: settings.limits.answer.0 as usize,
             stream_pause: settings.limits.stream_pause.0,
+            startup_wait: settings.limits.startup_wait.0,
         };
         let shell = EntryShell::new(parts, identity, timing, rand::random());
         let gate = Rc::new(ShellGate { shell: Rc::clone(&shell) });
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -32,6 +32,7 @@
 use crate::calls::CallTable;
 use crate::gate::host_ends;
 use crate::metrics::HostMetrics;
+use crate::startup::StartupQueue;
 
 /// Load is polled only from upstreams to which this host sent a request within this time.
 const LOAD_POLL_WINDOW: Duration = Duration::from_secs(5);
@@ -56,6 +57,8 @@
     pub max_answer_bytes: usize,
     /// Maximum wait for the next part of a stream.
     pub stream_pause: Duration,
+    /// Time after the start of the process for which requests wait for its first configuration.
+    pub startup_wait: Duration,
 }
 
 /// The runtime of one entry host: the reducer, its open calls and its clock, all on one thread.
@@ -74,6 +77,7 @@
     /// then, so no further event is processed.
     has_failed: Cell<bool>,
     failure: Notify,
+    pub(crate) startup: Rc<StartupQueue>,
     /// Time since the boot of the machine when this process started.
     started: Duration,
 }
@@ -96,6 +100,7 @@
         let started = time_since_boot();
         let now = Moment(CLOCK_OFFSET.as_micros() as u64);
         let reducer = HostReducer::new(now, identity.clone(), timing, seed);
+        let startup = StartupQueue::new(parts.startup_wait);
         Rc::new(Self {
             parts,
             identity,
@@ -106,6 +111,7 @@
             is_reducing: Cell::new(false),
             has_failed: Cell::new(false),
             failure: Notify::new(),
+            startup,
             started,
         })
     }
@@ -148,6 +154,9 @@
                 self.execute(effect);
             }
         }
+        if self.read(HostReducer::is_configured) {
+            self.startup.open();
+        }
     }
 
     /// Records that this host can't go on, and why. It is not ready from then on.
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only some of these functions")]
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,8 +17,11 @@
 use wagtailledge_decisions::HostIdentity;
 use wagtailledge_decisions::TimingRules;
 use wagtailledge_decisions::configuration::to_items;
+use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::ListedHost;
 use wagtailledge_decisions::event::ListedState;
+use wagtailledge_decisions::event::UpstreamLoad;
+use wagtailledge_decisions::event::UpstreamReach;
 use wagtailledge_decisions::order::OrderOutcome;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::store::StoreOp;
@@ -31,10 +35,12 @@
 use wagtailledge_keyvalue::KeyValueService;
 use wagtailledge_peers::MessageSeal;
 use wagtailledge_peers::PeerClient;
+use wagtailledge_upstreams::CallEvent;
 use wagtailledge_upstreams::OrderReply;
 use wagtailledge_upstreams::OrderRequest;
 use wagtailledge_upstreams::OrderSender;
 use wagtailledge_upstreams::OrderTarget;
+use wagtailledge_upstreams::UpstreamCall;
 use wagtailledge_upstreams::UpstreamCaller;
 use wagtailledge_upstreams::WritePermit;
 
@@ -90,8 +96,59 @@
     }
 }
 
+/// Upstreams that can't be reached.
+#[derive(Debug)]
+pub struct NoUpstreams;
+
+impl UpstreamCaller for NoUpstreams {
+    fn call<'a>(
+        &'a self,
+        _: UpstreamCall,
+        _: &'a mut dyn FnMut(CallEvent) -> LocalBoxFuture<'static, bool>,
+    ) -> LocalBoxFuture<'a, AttemptOutcome> {
+        ready(AttemptOutcome::Broken).boxed_local()
+    }
+
+    fn load(&self, _: SocketAddr) -> LocalBoxFuture<'static, Option<UpstreamLoad>> {
+        ready(None).boxed_local()
+    }
+
+    fn check(&self, _: SocketAddr) -> LocalBoxFuture<'static, UpstreamReach> {
+        ready(UpstreamReach::Silent).boxed_local()
+    }
+
+    fn sweep(&self) {}
+}
+
 /// Runtime of a host with the inventory in force.
 pub fn shell(store: Rc<dyn KeyValueService>, upstreams: Rc<dyn UpstreamCaller>) -> Rc<EntryShell> {
+    let shell = new_shell(store, upstreams, Duration::ZERO);
+    shell.submit(inventory_event());
+    submit_host_list(&shell);
+    shell
+}
+
+/// Runtime of a host without a configuration, where requests wait for it for `startup_wait`.
+pub fn unconfigured_shell(
+    upstreams: Rc<dyn UpstreamCaller>,
+    startup_wait: Duration,
+) -> Rc<EntryShell> {
+    let shell = new_shell(Rc::new(NoStore), upstreams, startup_wait);
+    submit_host_list(&shell);
+    shell
+}
+
+/// Event that brings the inventory into force.
+pub fn inventory_event() -> HostEvent {
+    let document = parse_inventory("test", INVENTORY).unwrap();
+    HostEvent::Inventory(1, to_items(&document))
+}
+
+fn new_shell(
+    store: Rc<dyn KeyValueService>,
+    upstreams: Rc<dyn UpstreamCaller>,
+    startup_wait: Duration,
+) -> Rc<EntryShell> {
     let parts = ShellParts {
         store,
         upstreams,
@@ -100,6 +157,7 @@
         metrics: Rc::new(HostMetrics::new(None).unwrap()),
         max_answer_bytes: 16,
         stream_pause: MAX_WAIT,
+        startup_wait,
     };
     let identity = HostIdentity {
         name: "east-1".to_owned(),
@@ -109,9 +167,10 @@
         incarnation: 1,
         capacity: 0,
     };
-    let shell = EntryShell::new(parts, identity, TimingRules::default(), 1);
-    let document = parse_inventory("test", INVENTORY).unwrap();
-    shell.submit(HostEvent::Inventory(1, to_items(&document)));
+    EntryShell::new(parts, identity, TimingRules::default(), 1)
+}
+
+fn submit_host_list(shell: &Rc<EntryShell>) {
     let listed = ListedHost {
         name: "fans-1".to_owned(),
         zone: "east".to_owned(),
@@ -121,7 +180,6 @@
         state: ListedState::Live,
     };
     shell.submit(HostEvent::HostListRead(shell.now(), vec![listed]));
-    shell
 }
 
 /// A call of the route.
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -127,6 +127,9 @@
     pub answers: ByteSize,
     /// Maximum pause within a stream from an upstream.
     pub stream_pause: TimeSpan,
+    /// Time after the start of the process for which requests wait for its first configuration before
+    /// they are refused; zero refuses them at once.
+    pub startup_wait: TimeSpan,
 }
 
 /// `[drain]`: timing of an orderly shutdown.
@@ -242,6 +245,7 @@
             answer: ByteSize(16 << 20),
             answers: ByteSize(64 << 20),
             stream_pause: TimeSpan(Duration::from_secs(30)),
+            startup_wait: TimeSpan(Duration::ZERO),
         }
     }
 }
