Add accounts to the inventory, the catalog and the paths of requests

Accounts and key digests are items of the inventory; the catalog keeps an account's key as long as the account is configured.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -306,6 +306,7 @@
             repeat: RequestRepeat::Idempotent,
             deadline: None,
             caller: 0,
+            account: None,
             terms: None,
         };
         let mut effects = Vec::new();
--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -1,5 +1,6 @@
 //! State of an open request.
 
+use wagtailledge_inventory::AccountKey;
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_inventory::catalog::SoftwareVersion;
 
@@ -45,7 +46,7 @@
     pub target: RequestTarget,
     /// Whether it may be sent more than once.
     pub repeat: RequestRepeat,
-    /// Rank of its route or class; lower ranks are served first.
+    /// Rank of its account, route or class; lower ranks are served first.
     pub rank: u8,
     /// When it arrived.
     pub arrived: Moment,
@@ -64,6 +65,8 @@
     pub claim: Option<(LedgerClaim, u64)>,
     /// Hash that identifies the caller.
     pub caller: u64,
+    /// Account of the caller; `None` if it has none.
+    pub account: Option<AccountKey>,
     /// Settings of its route; `None` if it matched none.
     pub terms: Option<RouteTerms>,
     /// Number of dispatches that ran or may have run.
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -19,6 +19,7 @@
 use crate::time::Moment;
 
 use super::refusals::reason_text;
+use super::refusals::stage_text;
 use super::state::DrainStage;
 use super::state::HostReducer;
 use crate::admission::queue_key;
@@ -58,7 +59,7 @@
             self.unreported_usage.entry(asset).or_default().add(1, u64::from(tokens));
             self.recent_usage.add(now, asset, 1, u64::from(tokens));
         }
-        let rank = request.terms.as_ref().map_or(rank, |terms| terms.rank);
+        let rank = request.rank(&self.catalog, rank);
         let deadline = now.after(request.deadline.unwrap_or(default_deadline));
         let keyed = matches!(request.repeat, RequestRepeat::Keyed(_));
         let record = RequestRecord {
@@ -74,6 +75,7 @@
             may_have_run: false,
             claim: None,
             caller: request.caller,
+            account: request.account,
             terms: request.terms,
             runs: 0,
             tried: Vec::new(),
@@ -389,13 +391,3 @@
         }
     }
 }
-
-/// Log value `reason` of an abandoned request.
-fn stage_text(stage: RequestStage) -> &'static str {
-    match stage {
-        RequestStage::Claiming => "waited for the ledger",
-        RequestStage::Waiting => "waited for an upstream",
-        RequestStage::Dispatched(_) => "waited for an answer",
-        RequestStage::Streaming(_) => "was being answered",
-    }
-}
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -4,6 +4,7 @@
 
 use wagtailledge_inventory::AssetKey;
 
+use crate::admission::RequestStage;
 use crate::request::CallerRefusal;
 use crate::request::RefusalOutcome;
 use crate::request::RefusalReason;
@@ -102,3 +103,13 @@
         RefusalReason::HostEnds => "host ends",
     }
 }
+
+/// Log value `reason` of an abandoned request.
+pub(super) fn stage_text(stage: RequestStage) -> &'static str {
+    match stage {
+        RequestStage::Claiming => "waited for the ledger",
+        RequestStage::Waiting => "waited for an upstream",
+        RequestStage::Dispatched(_) => "waited for an answer",
+        RequestStage::Streaming(_) => "was being answered",
+    }
+}
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -6,7 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 use slotmap::new_key_type;
+use wagtailledge_inventory::AccountKey;
 use wagtailledge_inventory::AssetKey;
+use wagtailledge_inventory::InventoryCatalog;
 use wagtailledge_inventory::ServiceKey;
 
 new_key_type! {
@@ -123,10 +125,22 @@
     pub deadline: Option<Duration>,
     /// Hash that identifies the caller.
     pub caller: u64,
+    /// Account of the caller; `None` if it has none.
+    pub account: Option<AccountKey>,
     /// Settings of its route; `None` if it matched none.
     pub terms: Option<RouteTerms>,
 }
 
+impl CallerRequest {
+    /// Rank of the request: that of its account if it has one, else that of its route, else that of
+    /// its class.
+    pub fn rank(&self, catalog: &InventoryCatalog, class_rank: u8) -> u8 {
+        let account = self.account.and_then(|account| catalog.accounts.get(account));
+        let route_rank = self.terms.as_ref().map(|terms| terms.rank);
+        account.and_then(|account| account.rank).or(route_rank).unwrap_or(class_rank)
+    }
+}
+
 /// Whether a refused request ran, as far as known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -252,7 +252,8 @@
         self.last_ticket += 1;
         let ticket = RequestTicket(self.last_ticket);
         let deadline = Some(Duration::from_millis(deadline_ms));
-        let request = CallerRequest { ticket, target, repeat, deadline, caller, terms };
+        let account = None;
+        let request = CallerRequest { ticket, target, repeat, deadline, caller, account, terms };
         self.submit(HostEvent::RequestArrived(request));
         self.last_ticket
     }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -138,6 +138,7 @@
             request_id: call.request_id.clone(),
             asset: plan.asset.clone(),
             rank: plan.rank,
+            account: None,
             remaining,
             resume_after: live.last_event,
             repeatable: live.terms.repeatable,
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -160,7 +160,8 @@
         let latest_reply = deadline.map(|time_left| Instant::now() + time_left);
         let shell = Rc::clone(&self.shell);
         let (ticket, reply) = shell.calls.borrow_mut().open(call, latest_reply, retry_terms);
-        let request = CallerRequest { ticket, target, repeat, deadline, caller, terms };
+        let account = None;
+        let request = CallerRequest { ticket, target, repeat, deadline, caller, account, terms };
         shell.submit(HostEvent::RequestArrived(request));
         async move {
             let guard_shell = Rc::clone(&shell);
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -139,6 +139,8 @@
         resumes: None,
         idempotency_key: None,
         caller: 1,
+        key: None,
+        identity_headers: &[],
     }
 }
 
--- a/components/frontend/src/gate.rs
+++ b/components/frontend/src/gate.rs
@@ -12,11 +12,13 @@
 use futures::future::LocalBoxFuture;
 use hyper::HeaderMap;
 use hyper::Method;
+use hyper::header::HeaderName;
 use tokio::sync::mpsc;
 use wagtailledge_decisions::request::CallerRefusal;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::request::RecordedAnswer;
 use wagtailledge_decisions::request::ResumedStream;
+use wagtailledge_inventory::KeyDigest;
 
 /// Target of a call, as the caller names it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -65,6 +67,11 @@
     pub prompt: PromptShape,
     /// Stream that the call takes up; `None` if it begins one.
     pub resumes: Option<ResumedStream>,
+    /// Digest of the key by which the caller identifies its account; `None` if it states none.
+    pub key: Option<KeyDigest>,
+    /// Names of those `headers` that identify the caller. They are not sent to upstreams if the
+    /// configuration has accounts.
+    pub identity_headers: &'static [HeaderName],
     /// Value of the header `Idempotency-Key`.
     pub idempotency_key: Option<String>,
     /// Hash that identifies the caller. The completion API hashes the `Authorization` header or,
@@ -104,6 +111,8 @@
     UnknownName,
     /// No configuration is in force here yet.
     Unconfigured,
+    /// The target needs the key of an account, and the call has none or an unknown one.
+    UnknownKey,
 }
 
 /// Creates the channel of a streamed answer, which buffers up to `parts` parts for a slow caller.
--- a/components/frontend/src/lib.rs
+++ b/components/frontend/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod body;
 pub mod gate;
+mod key;
 mod parse;
 pub mod relay;
 mod respond;
@@ -22,6 +23,7 @@
 pub use gate::PartStream;
 pub use gate::StreamCut;
 pub use gate::part_channel;
+pub use key::key_of_schemes;
 pub use relay::IngressDialect;
 pub use relay::RelayServer;
 pub use relay::TextServer;
--- a/components/frontend/src/parse.rs
+++ b/components/frontend/src/parse.rs
@@ -10,10 +10,12 @@
 use bytes::Bytes;
 use serde_json::Value;
 use wagtailledge_decisions::request::PromptShape;
+use wagtailledge_inventory::KeyDigest;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gate::CallTarget;
 use crate::gate::CallerCall;
+use crate::key::key_of_schemes;
 
 /// Request header with the time left for the answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -66,6 +68,13 @@
     }
 }
 
+/// Digest of the key in the header `Authorization`, which names the scheme `Bearer` or `Token`.
+pub fn read_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut values = headers.get_all(AUTHORIZATION);
+    let value = values.next().filter(|_| values.next().is_none())?;
+    key_of_schemes(value.as_bytes(), &["bearer", "token"])
+}
+
 fn build_call(
     head: &RequestHead,
     target: CallTarget,
@@ -87,6 +96,8 @@
         body,
         arrived: Instant::now(),
         deadline: read_deadline(head.headers())?,
+        key: read_key(head.headers()),
+        identity_headers: &[],
         prompt: PromptShape::default(),
         resumes: None,
         idempotency_key: visible_text(head.headers(), IDEMPOTENCY_KEY_HEADER)?,
--- a/components/frontend/src/relay/dialect.rs
+++ b/components/frontend/src/relay/dialect.rs
@@ -5,10 +5,13 @@
 
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper::http::request;
 use wagtailledge_decisions::request::CallerRefusal;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::request::ResumedStream;
+use wagtailledge_inventory::KeyDigest;
 
 /// Values read from the head of a request.
 #[derive(Debug, Clone)]
@@ -25,6 +28,11 @@
     pub prompt: PromptShape,
     /// Stream that the request takes up; `None` if it begins one.
     pub resumes: Option<ResumedStream>,
+    /// Digest of the key by which the caller identifies its account; `None` if it states none.
+    pub key: Option<KeyDigest>,
+    /// Names of those `headers` that identify the caller. They are not sent to upstreams if the
+    /// configuration has accounts.
+    pub identity_headers: &'static [HeaderName],
     /// Headers to send to the upstream.
     pub headers: HeaderMap,
 }
@@ -48,4 +56,7 @@
 
     /// Status and headers of the response to a refused request.
     fn refusal(&self, refusal: &CallerRefusal) -> (StatusCode, HeaderMap);
+
+    /// Value of `WWW-Authenticate` in the response to a request without the key of an account.
+    fn challenge(&self) -> HeaderValue;
 }
--- a/components/frontend/src/relay/handle.rs
+++ b/components/frontend/src/relay/handle.rs
@@ -25,6 +25,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use hyper::header::WWW_AUTHENTICATE;
 use hyper::http::request;
 use log::info;
 use wagtailledge_decisions::request::RecordedAnswer;
@@ -153,6 +154,8 @@
         body,
         arrived,
         deadline: relay_head.deadline,
+        key: relay_head.key,
+        identity_headers: relay_head.identity_headers,
         prompt: relay_head.prompt,
         resumes: relay_head.resumes,
         idempotency_key: None,
@@ -179,6 +182,11 @@
             build(status, headers, RelayBody::Buffered(Some(text.into())))
         }
         CallerReply::UnknownName => text_response(StatusCode::NOT_FOUND, "no route leads there\n"),
+        CallerReply::UnknownKey => {
+            let mut response = text_response(StatusCode::UNAUTHORIZED, "no key of an account\n");
+            response.headers_mut().insert(WWW_AUTHENTICATE, dialect.challenge());
+            response
+        }
         CallerReply::Unconfigured => {
             let mut response =
                 text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
--- a/components/frontend/src/respond.rs
+++ b/components/frontend/src/respond.rs
@@ -6,7 +6,9 @@
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
+use actix_http::header::HeaderValue;
 use actix_http::header::RETRY_AFTER;
+use actix_http::header::WWW_AUTHENTICATE;
 use bytes::Bytes;
 use futures::future::poll_fn;
 use futures::stream;
@@ -71,6 +73,7 @@
             let problem = "names nothing in the inventory".to_owned();
             bad_request(StatusCode::NOT_FOUND, &BadRequest { field: "model".to_owned(), problem })
         }
+        CallerReply::UnknownKey => unauthorized(),
         CallerReply::Unconfigured => {
             let problem = "cannot be looked up: no inventory is in force yet".to_owned();
             let fault = BadRequest { field: "model".to_owned(), problem };
@@ -79,6 +82,15 @@
     }
 }
 
+/// Builds the response to a request that needs the key of an account and has none or an unknown one.
+pub fn unauthorized() -> Response<BoxBody> {
+    let problem = "must be `Bearer` and the key of an account".to_owned();
+    let fault = BadRequest { field: "authorization".to_owned(), problem };
+    let mut response = bad_request(StatusCode::UNAUTHORIZED, &fault);
+    response.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    response
+}
+
 fn response_builder(status: StatusCode, request_id: &str) -> ResponseBuilder {
     let mut builder = Response::build(status);
     builder.insert_header((REQUEST_ID_HEADER, request_id));
--- a/components/fuzzer/src/world/calls.rs
+++ b/components/fuzzer/src/world/calls.rs
@@ -55,6 +55,7 @@
             repeat: RequestRepeat::Idempotent,
             deadline: Some(deadline),
             caller: call % 5,
+            account: None,
             terms: stream_terms(call),
         };
         self.submit_request(slot, request, expected, None);
@@ -78,6 +79,7 @@
             repeat,
             deadline: Some(deadline),
             caller: call % 5,
+            account: None,
             terms: None,
         };
         self.submit_request(slot, request, expected, name);
--- a/components/fuzzer/src/world/inventory.rs
+++ b/components/fuzzer/src/world/inventory.rs
@@ -102,6 +102,7 @@
             pool: None,
         }],
         routes: Vec::new(),
+        accounts: Vec::new(),
     }
 }
 
--- a/components/inventory/src/catalog/mod.rs
+++ b/components/inventory/src/catalog/mod.rs
@@ -1,5 +1,6 @@
 //! The inventory indexed by stable keys: an item keeps its key from revision to revision.
 
+mod accounts;
 mod records;
 mod routes;
 
@@ -22,6 +23,11 @@
 use crate::item::ItemMap;
 use crate::item::to_document;
 
+use accounts::AccountIndex;
+
+pub use accounts::AccountKey;
+pub use accounts::AccountRecord;
+pub use accounts::QuotaRecord;
 pub use records::AssetKey;
 pub use records::AssetRecord;
 pub use records::PoolRecord;
@@ -57,6 +63,9 @@
     process_keys: BTreeMap<String, BTreeMap<u64, UpstreamKey>>,
     /// Plain services and pools. A key stays valid as long as its item exists.
     pub services: SlotMap<ServiceKey, ServiceRecord>,
+    /// Accounts of callers, by keys that stay the same when the configuration changes.
+    pub accounts: SlotMap<AccountKey, AccountRecord>,
+    account_index: AccountIndex,
     /// Routes for requests that are passed through to a service.
     pub routes: RouteTable,
     /// Placement scopes that have engines, sorted. A scope whose last engine unregisters stays
@@ -84,6 +93,7 @@
             .iter()
             .map(|class| (class.name.clone(), (class.rank, class.deadline.0)))
             .collect();
+        self.account_index.replace(&mut self.accounts, &document.accounts);
         self.replace_services(document);
         self.replace_models(document);
         for adapter in &document.adapters {
--- a/components/inventory/src/catalog/routes.rs
+++ b/components/inventory/src/catalog/routes.rs
@@ -31,6 +31,8 @@
     pub sticky: bool,
     /// Whether another engine may continue a broken stream after its last event.
     pub resumable: bool,
+    /// Whether requests need no key.
+    pub public: bool,
     /// Destinations and their weights, all above zero.
     pub shares: Vec<(ServiceKey, u32)>,
 }
@@ -80,6 +82,7 @@
                 attempts: entry.attempts,
                 sticky: entry.sticky,
                 resumable: entry.resumable,
+                public: entry.public,
                 shares: shares.collect(),
             });
         }
--- a/components/inventory/src/check.rs
+++ b/components/inventory/src/check.rs
@@ -36,6 +36,7 @@
     check.check_upstreams(lines);
     check.check_services(&lines.services);
     check.check_routes(&lines.routes);
+    check.check_accounts(&lines.accounts);
     check.faults
 }
 
@@ -49,6 +50,7 @@
         engines: vec![0; document.engines.len()],
         services: vec![0; document.services.len()],
         routes: vec![0; document.routes.len()],
+        accounts: vec![0; document.accounts.len()],
     };
     check_document("inventory", document, &lines)
 }
@@ -258,6 +260,21 @@
         }
     }
 
+    fn check_accounts(&mut self, lines: &[usize]) {
+        let mut names = HashSet::new();
+        let mut owners = HashMap::new();
+        for (account, line) in self.document.accounts.iter().zip(lines) {
+            let item = format!("account \"{}\"", account.name);
+            self.check_name(*line, &item, &account.name, &mut names);
+            for (index, key) in account.keys.iter().enumerate() {
+                if let Some(owner) = owners.insert(*key, &account.name) {
+                    let problem = format!("key #{} also belongs to \"{owner}\"", index + 1);
+                    self.report(*line, item.clone(), problem);
+                }
+            }
+        }
+    }
+
     fn check_destinations(&mut self, line: usize, item: &str, route: &RouteEntry) {
         if route.to.iter().all(|share| share.weight == 0) {
             self.report(line, item.to_owned(), "to: no destination has a weight above zero".into());
--- a/components/inventory/src/document.rs
+++ b/components/inventory/src/document.rs
@@ -5,6 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use crate::account::AccountEntry;
+pub use crate::account::QuotaEntry;
+pub use crate::account::QuotaUnit;
 use crate::units::ByteSize;
 use crate::units::TimeSpan;
 
@@ -33,6 +36,9 @@
     /// Routes for requests that are passed through to a service.
     #[serde(default, rename = "route")]
     pub routes: Vec<RouteEntry>,
+    /// Accounts of callers. If there are any, requests need a key, except on public routes.
+    #[serde(default, rename = "account", skip_serializing_if = "Vec::is_empty")]
+    pub accounts: Vec<AccountEntry>,
 }
 
 /// Rules that apply to the whole deployment.
@@ -63,6 +69,9 @@
     pub head_timeout: TimeSpan,
     /// Idle time after which a caller's connection is closed.
     pub idle_timeout: TimeSpan,
+    /// Whether requests need the key of an account even if no account is declared.
+    #[serde(skip_serializing_if = "is_false")]
+    pub keys_required: bool,
 }
 
 impl Default for RuleSet {
@@ -80,6 +89,7 @@
             max_body: ByteSize(4 << 20),
             head_timeout: TimeSpan(Duration::from_secs(10)),
             idle_timeout: TimeSpan(Duration::from_secs(60)),
+            keys_required: false,
         }
     }
 }
@@ -292,6 +302,9 @@
     /// Whether another engine may continue a broken stream after its last event.
     #[serde(default)]
     pub resumable: bool,
+    /// Whether requests need no key.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
     /// Services that receive the requests, by weight.
     pub to: Vec<RouteShare>,
 }
@@ -311,6 +324,11 @@
     pub slots: u32,
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 fn first_version() -> u32 {
     1
 }
--- a/components/inventory/src/item.rs
+++ b/components/inventory/src/item.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::document::AccountEntry;
 use crate::document::AdapterEntry;
 use crate::document::ClassRule;
 use crate::document::EngineEntry;
@@ -33,6 +34,8 @@
     Service(ServiceEntry),
     /// A route of requests that are passed through.
     Route(RouteEntry),
+    /// An account of callers.
+    Account(AccountEntry),
 }
 
 /// An item that was added, replaced or removed.
@@ -58,6 +61,7 @@
             Self::Engine(engine) => format!("engine/{}", engine.name),
             Self::Service(service) => format!("service/{}", service.name),
             Self::Route(route) => format!("route/{}", route.name),
+            Self::Account(account) => format!("account/{}", account.name),
         }
     }
 
@@ -77,8 +81,9 @@
     let engines = document.engines.iter().cloned().map(ConfigurationItem::Engine);
     let services = document.services.iter().cloned().map(ConfigurationItem::Service);
     let routes = document.routes.iter().cloned().map(ConfigurationItem::Route);
+    let accounts = document.accounts.iter().cloned().map(ConfigurationItem::Account);
     let all = rules.chain(classes).chain(models).chain(adapters);
-    let all = all.chain(engines).chain(services).chain(routes);
+    let all = all.chain(engines).chain(services).chain(routes).chain(accounts);
     all.map(|item| (item.name(), item)).collect()
 }
 
@@ -94,6 +99,7 @@
             ConfigurationItem::Engine(engine) => document.engines.push(engine),
             ConfigurationItem::Service(service) => document.services.push(service),
             ConfigurationItem::Route(route) => document.routes.push(route),
+            ConfigurationItem::Account(account) => document.accounts.push(account),
         }
     }
     document
--- a/components/inventory/src/parse.rs
+++ b/components/inventory/src/parse.rs
@@ -26,6 +26,8 @@
     pub services: Vec<usize>,
     /// Start line of each `[[route]]`.
     pub routes: Vec<usize>,
+    /// Start line of each `[[account]]`.
+    pub accounts: Vec<usize>,
 }
 
 /// Parses and checks an inventory; `file` is the name used in faults.
@@ -48,6 +50,7 @@
         engines: reader.item_list(&mut root, "engine", &mut lines.engines),
         services: reader.item_list(&mut root, "service", &mut lines.services),
         routes: reader.item_list(&mut root, "route", &mut lines.routes),
+        accounts: reader.item_list(&mut root, "account", &mut lines.accounts),
     };
     reader.report_unknown_sections(&root);
     let mut faults = reader.faults;
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -36,6 +36,8 @@
     pub asset: String,
     /// Rank of the request, for engines that honour priorities.
     pub rank: u8,
+    /// Name of the caller's account; `None` if it has none.
+    pub account: Option<String>,
     /// Time left until the request's deadline.
     pub remaining: Duration,
     /// Id of the last event that the caller received; a resumed stream continues after it.
