Require keys of accounts and name the account to upstreams

Nothing looked at the keys of callers, and Authorization and X-Tenant were passed on to upstreams. With accounts in the configuration, requests on routes that are not public now need a known key: 503 without a configuration, 404 without a route, then 401. Adapters hash keys while they decode; upstreams get the account's name in place of the key and of what the caller wrote. Wrong entries of the platform's configuration are logged without keys and left out; if none is valid, keys are still required. The own interface takes Bearer and Token, and keeps idempotency keys of accounts apart.

Without accounts, both headers pass as before (can_pass_on_the_headers_of_callers_without_accounts).

--- a/components/decisions/src/host/names.rs
+++ b/components/decisions/src/host/names.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use wagtailledge_inventory::AccountKey;
 use wagtailledge_inventory::AssetKey;
 use wagtailledge_inventory::document::RouteKind;
 use wagtailledge_inventory::document::VersionState;
@@ -37,6 +38,8 @@
     Unconfigured,
     /// No route matches, or the route has no destination for the request.
     Unknown,
+    /// The route is not public, the configuration has accounts, and the request belongs to none.
+    KeyNeeded,
     /// A route matches.
     Found(Box<RouteMatch>),
 }
@@ -56,12 +59,13 @@
     }
 
     /// Finds the route for the host name and path of a request. `draw` is a uniform random number
-    /// that selects one of several destinations.
+    /// that selects one of several destinations; `account` is that of the caller's key.
     pub fn resolve_route(
         &self,
         host: &str,
         path: &str,
         asset: Option<&str>,
+        account: Option<AccountKey>,
         draw: u64,
     ) -> RouteResolution {
         if self.catalog.revision == 0 {
@@ -71,6 +75,9 @@
         let Some(route) = self.catalog.routes.find(host, bare) else {
             return RouteResolution::Unknown;
         };
+        if account.is_none() && !route.public && self.catalog.has_accounts() {
+            return RouteResolution::KeyNeeded;
+        }
         let Some(service) = route.destination(draw) else {
             return RouteResolution::Unknown;
         };
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -53,6 +53,8 @@
     pub deadline: Option<Instant>,
     /// Which retries the call allows.
     pub terms: RetryTerms,
+    /// Name of the caller's account; `None` if it has none.
+    pub account: Option<String>,
     /// Passes the reply to the frontend; `None` once it was sent.
     responder: Option<oneshot::Sender<CallerReply>>,
     /// Latest attempt; `None` before the first dispatch.
@@ -77,6 +79,7 @@
     pub fn open(
         &mut self,
         call: CallerCall,
+        account: Option<String>,
         deadline: Option<Instant>,
         terms: RetryTerms,
     ) -> (RequestTicket, oneshot::Receiver<CallerReply>) {
@@ -88,6 +91,7 @@
             call,
             deadline,
             terms,
+            account,
             responder: Some(responder),
             attempt: None,
             pending: None,
@@ -108,6 +112,11 @@
         self.calls.get(&ticket).map_or("", |live| &live.call.request_id)
     }
 
+    /// Account of the call with this ticket; `None` if it has none or was removed.
+    pub fn account(&self, ticket: RequestTicket) -> Option<&str> {
+        self.calls.get(&ticket)?.account.as_deref()
+    }
+
     /// Sends the caller its reply and returns the time since the call arrived. If a reply was sent
     /// before, truncates the stream in progress and returns `None`.
     pub fn reply(&mut self, ticket: RequestTicket, reply: CallerReply) -> Option<Duration> {
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -106,12 +106,18 @@
     }
 
     fn upstream_call(&self, plan: &DispatchPlan) -> Option<UpstreamCall> {
-        let (address, upstream, is_registered) = self.read(|reducer| {
-            let record = reducer.catalog().upstreams.get(plan.upstream)?;
-            Some((record.address.parse().ok()?, record.name.clone(), record.registered))
+        let (address, upstream, is_registered, has_accounts) = self.read(|reducer| {
+            let catalog = reducer.catalog();
+            let record = catalog.upstreams.get(plan.upstream)?;
+            let address = record.address.parse().ok()?;
+            Some((address, record.name.clone(), record.registered, catalog.has_accounts()))
         })?;
         let mut calls = self.calls.borrow_mut();
         let live = calls.get_mut(plan.ticket)?;
+        if has_accounts {
+            // The configuration may have got accounts since the call arrived.
+            live.call.remove_identity();
+        }
         let call = &live.call;
         let time_left =
             live.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
@@ -138,7 +144,7 @@
             request_id: call.request_id.clone(),
             asset: plan.asset.clone(),
             rank: plan.rank,
-            account: None,
+            account: live.account.clone(),
             remaining,
             resume_after: live.last_event,
             repeatable: live.terms.repeatable,
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -57,7 +57,8 @@
     fn record_decision(&self, record: &DecisionRecord) {
         let calls = self.calls.borrow();
         let request_id = record.ticket.map_or("", |ticket| calls.request_id(ticket));
-        log_decision(record, &self.identity.name, request_id);
+        let account = record.ticket.and_then(|ticket| calls.account(ticket));
+        log_decision(record, &self.identity.name, request_id, account);
         self.parts.metrics.count(&format!("decision.{}", kind_name(record.kind)));
     }
 
--- a/components/entry/src/gate.rs
+++ b/components/entry/src/gate.rs
@@ -23,6 +23,8 @@
 use wagtailledge_frontend::CallerLimits;
 use wagtailledge_frontend::CallerReply;
 use wagtailledge_frontend::DepartureGuard;
+use wagtailledge_inventory::AccountKey;
+use wagtailledge_inventory::KeyDigest;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::calls::RetryTerms;
@@ -45,12 +47,15 @@
     /// Time left until the call must be answered or refused.
     deadline: Option<Duration>,
     terms: Option<RouteTerms>,
+    /// Key and name of the caller's account; `None` if it has none.
+    account: Option<(AccountKey, String)>,
 }
 
 /// Why a call has no target.
 enum UnresolvedCall {
     UnknownName,
     Unconfigured,
+    UnknownKey,
 }
 
 impl From<UnresolvedCall> for CallerReply {
@@ -58,43 +63,62 @@
         match unresolved {
             UnresolvedCall::UnknownName => Self::UnknownName,
             UnresolvedCall::Unconfigured => Self::Unconfigured,
+            UnresolvedCall::UnknownKey => Self::UnknownKey,
         }
     }
 }
 
 impl ShellGate {
-    /// Looks up the target of a call. If a route matches, moves the call's prompt to its terms.
+    /// Looks up account and target of a call. If a route matches, moves the call's prompt to its terms.
+    /// If the configuration has accounts, removes the headers that identify the caller.
     fn resolve(&self, call: &mut CallerCall) -> Result<ResolvedCall, UnresolvedCall> {
         let deadline = call.deadline;
-        let without_route =
-            |(target, repeat)| ResolvedCall { target, repeat, deadline, terms: None };
-        self.shell.read(|reducer| match &call.target {
-            CallTarget::Model { name, .. } => {
-                let target = reducer.resolve_model(name).ok_or(UnresolvedCall::UnknownName)?;
-                Ok(without_route((target, RequestRepeat::Idempotent)))
-            }
-            CallTarget::Service { name } => {
-                let (target, idempotent) = reducer
-                    .resolve_service(name, call.method.as_str(), &call.path)
-                    .ok_or(UnresolvedCall::UnknownName)?;
-                let key = call.idempotency_key.as_deref();
-                let repeat = reducer.service_repeat(name, idempotent, key, fingerprint(call));
-                Ok(without_route((target, repeat)))
+        self.shell.read(|reducer| {
+            let catalog = reducer.catalog();
+            let account = call.key.as_ref().and_then(|key| catalog.account_of(key));
+            let name = account.map(|account| catalog.accounts[account].name.clone());
+            if catalog.has_accounts() {
+                call.remove_identity();
             }
-            CallTarget::Route { host, asset } => {
-                let asset = asset.as_deref();
-                match reducer.resolve_route(host, &call.path, asset, rand::random()) {
-                    RouteResolution::Unconfigured => Err(UnresolvedCall::Unconfigured),
-                    RouteResolution::Unknown => Err(UnresolvedCall::UnknownName),
-                    RouteResolution::Found(found) => {
-                        let RouteMatch { target, repeat, timeout, mut terms } = *found;
-                        terms.prompt = std::mem::take(&mut call.prompt);
-                        terms.stream_id = (!call.request_id.is_empty()).then_some(call.caller);
-                        terms.resumes = call.resumes;
-                        let allowed = deadline.map_or(timeout, |deadline| deadline.min(timeout));
-                        let time_left = allowed.saturating_sub(call.arrived.elapsed());
-                        let (deadline, terms) = (Some(time_left), Some(terms));
-                        Ok(ResolvedCall { target, repeat, deadline, terms })
+            let account = account.zip(name);
+            let without_route = |target, repeat| {
+                if account.is_none() && catalog.has_accounts() {
+                    return Err(UnresolvedCall::UnknownKey);
+                }
+                let account = account.clone();
+                Ok(ResolvedCall { target, repeat, deadline, terms: None, account })
+            };
+            match &call.target {
+                CallTarget::Model { name, .. } => {
+                    let target = reducer.resolve_model(name).ok_or(UnresolvedCall::UnknownName)?;
+                    without_route(target, RequestRepeat::Idempotent)
+                }
+                CallTarget::Service { name } => {
+                    let (target, idempotent) = reducer
+                        .resolve_service(name, call.method.as_str(), &call.path)
+                        .ok_or(UnresolvedCall::UnknownName)?;
+                    let key = account_key(call, account.as_ref().map(|(_, name)| name.as_str()));
+                    let key = key.as_deref();
+                    let repeat = reducer.service_repeat(name, idempotent, key, fingerprint(call));
+                    without_route(target, repeat)
+                }
+                CallTarget::Route { host, asset } => {
+                    let (asset, key) = (asset.as_deref(), account.as_ref().map(|(key, _)| *key));
+                    match reducer.resolve_route(host, &call.path, asset, key, rand::random()) {
+                        RouteResolution::Unconfigured => Err(UnresolvedCall::Unconfigured),
+                        RouteResolution::Unknown => Err(UnresolvedCall::UnknownName),
+                        RouteResolution::KeyNeeded => Err(UnresolvedCall::UnknownKey),
+                        RouteResolution::Found(found) => {
+                            let RouteMatch { target, repeat, timeout, mut terms } = *found;
+                            terms.prompt = std::mem::take(&mut call.prompt);
+                            terms.stream_id = (!call.request_id.is_empty()).then_some(call.caller);
+                            terms.resumes = call.resumes;
+                            let allowed =
+                                deadline.map_or(timeout, |deadline| deadline.min(timeout));
+                            let time_left = allowed.saturating_sub(call.arrived.elapsed());
+                            let (deadline, terms) = (Some(time_left), Some(terms));
+                            Ok(ResolvedCall { target, repeat, deadline, terms, account })
+                        }
                     }
                 }
             }
@@ -108,6 +132,7 @@
         let reason = match unresolved {
             UnresolvedCall::UnknownName => "no such target",
             UnresolvedCall::Unconfigured => "no configuration yet",
+            UnresolvedCall::UnknownKey => "unknown key",
         };
         let origin = self.shell.read(|reducer| reducer.configuration_origin().clone());
         let age_ms = self.shell.now().since(origin.since).as_millis() as u64;
@@ -121,6 +146,13 @@
     }
 }
 
+/// Idempotency key of a call, different for each account. Neither names of accounts nor idempotency keys
+/// contain spaces.
+fn account_key(call: &CallerCall, account: Option<&str>) -> Option<String> {
+    let key = call.idempotency_key.as_ref()?;
+    Some(account.map_or_else(|| key.clone(), |account| format!("{account} {key}")))
+}
+
 /// Hash of method, path and body, which a call with the same idempotency key must match.
 fn fingerprint(call: &CallerCall) -> u64 {
     let mut hash = Xxh3::new();
@@ -147,10 +179,14 @@
             Ok(resolved) => resolved,
             Err(unresolved) => {
                 self.log_unresolved(&call, &unresolved);
+                if matches!(unresolved, UnresolvedCall::UnknownKey) {
+                    self.shell.parts.metrics.count("account.unknown_key");
+                }
                 return futures::future::ready(unresolved.into()).boxed_local();
             }
         };
-        let ResolvedCall { target, repeat, deadline, terms } = resolved;
+        let ResolvedCall { target, repeat, deadline, terms, account } = resolved;
+        let (account, account_name) = account.unzip();
         let retry_terms = RetryTerms {
             repeatable: repeat == RequestRepeat::Idempotent,
             streaming: terms.as_ref().is_some_and(|terms| terms.streaming),
@@ -159,8 +195,9 @@
         let caller = call.caller;
         let latest_reply = deadline.map(|time_left| Instant::now() + time_left);
         let shell = Rc::clone(&self.shell);
-        let (ticket, reply) = shell.calls.borrow_mut().open(call, latest_reply, retry_terms);
-        let account = None;
+        let mut calls = shell.calls.borrow_mut();
+        let (ticket, reply) = calls.open(call, account_name, latest_reply, retry_terms);
+        drop(calls);
         let request = CallerRequest { ticket, target, repeat, deadline, caller, account, terms };
         shell.submit(HostEvent::RequestArrived(request));
         async move {
@@ -176,6 +213,13 @@
         .boxed_local()
     }
 
+    fn admits(&self, key: Option<&KeyDigest>) -> bool {
+        self.shell.read(|reducer| {
+            let catalog = reducer.catalog();
+            !catalog.has_accounts() || key.is_some_and(|key| catalog.account_of(key).is_some())
+        })
+    }
+
     fn model_names(&self) -> Vec<String> {
         self.shell.read(|reducer| reducer.catalog().public_names().map(str::to_owned).collect())
     }
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -20,23 +20,33 @@
 /// Log target of decision records.
 const DECISION_TARGET: &str = "decision";
 
-/// Logs a decision of the reducer. `request_id` is empty for decisions that concern no request.
-pub fn log_decision(record: &DecisionRecord, host: &str, request_id: &str) {
-    info!(
-        target: DECISION_TARGET,
-        kind = kind_name(record.kind),
-        host = host,
-        request = request_id,
-        subject = record.subject.as_str(),
-        choice = record.choice.as_str(),
-        reason = record.reason,
-        alternatives = record.alternatives,
-        inputs = record.inputs.as_str();
-        "{} {} -> {}",
-        kind_name(record.kind),
-        record.subject,
-        record.choice
-    );
+/// Logs a decision of the reducer. `request_id` is empty for decisions that concern no request;
+/// `account` is the account of the request, which has its log key only if there is one.
+pub fn log_decision(record: &DecisionRecord, host: &str, request_id: &str, account: Option<&str>) {
+    macro_rules! log_with {
+        ($($key:ident = $value:expr),*) => {
+            info!(
+                target: DECISION_TARGET,
+                kind = kind_name(record.kind),
+                host = host,
+                request = request_id,
+                subject = record.subject.as_str(),
+                choice = record.choice.as_str(),
+                reason = record.reason,
+                alternatives = record.alternatives,
+                inputs = record.inputs.as_str()
+                $(, $key = $value)*;
+                "{} {} -> {}",
+                kind_name(record.kind),
+                record.subject,
+                record.choice
+            )
+        };
+    }
+    match account {
+        Some(account) => log_with!(account = account),
+        None => log_with!(),
+    }
 }
 
 /// Name of a decision kind in log records and metric names.
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 24] = [
+pub const METRIC_NAMES: [&str; 25] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -30,6 +30,7 @@
     "request.time",
     "request.waiting",
     "request.open",
+    "account.unknown_key",
     "answer.truncated",
     "answer.broken_at_start",
     "order.not_sent",
--- a/components/frontend/src/gate.rs
+++ b/components/frontend/src/gate.rs
@@ -79,6 +79,15 @@
     pub caller: u64,
 }
 
+impl CallerCall {
+    /// Removes the headers that identify the caller, among them its key.
+    pub fn remove_identity(&mut self) {
+        for name in self.identity_headers {
+            self.headers.remove(name);
+        }
+    }
+}
+
 /// Error: a stream ended before it was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamCut;
@@ -214,6 +223,9 @@
     /// Serves or refuses a call. Dropping the future reports that the caller has disconnected.
     fn serve(&self, call: CallerCall) -> LocalBoxFuture<'static, CallerReply>;
 
+    /// Whether a caller with this key may use what is not public.
+    fn admits(&self, key: Option<&KeyDigest>) -> bool;
+
     /// Names of models and adapters that callers may use.
     fn model_names(&self) -> Vec<String>;
 
--- a/components/frontend/src/server.rs
+++ b/components/frontend/src/server.rs
@@ -28,9 +28,11 @@
 use crate::parse::BadRequest;
 use crate::parse::parse_model_call;
 use crate::parse::parse_service_call;
+use crate::parse::read_key;
 use crate::respond::bad_request;
 use crate::respond::json_response;
 use crate::respond::respond;
+use crate::respond::unauthorized;
 
 /// Delay after a failure to accept a connection, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -166,6 +168,11 @@
     match (request.method(), path.as_str()) {
         (&Method::GET, "/livez") => return json_response(StatusCode::OK, &json!({ "live": true })),
         (&Method::GET, "/readyz") => return readiness_response(gate.is_ready()),
+        (&Method::GET, "/v1/models")
+            if !gate.admits(read_key(request.head().headers()).as_ref()) =>
+        {
+            return unauthorized();
+        }
         (&Method::GET, "/v1/models") => return models_response(&gate.model_names()),
         _ => {}
     }
--- a/components/inventory/src/account.rs
+++ b/components/inventory/src/account.rs
@@ -1,7 +1,9 @@
 //! Accounts of callers, as operators declare them.
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error;
 
 use crate::key::KeyDigest;
 
@@ -48,6 +50,7 @@
 #[serde(deny_unknown_fields)]
 struct AccountFields {
     name: String,
+    #[serde(deserialize_with = "read_digests")]
     keys: Vec<KeyDigest>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     rank: Option<u8>,
@@ -61,6 +64,12 @@
     undeclared: u64,
 }
 
+/// Reads the keys. An error does not repeat what it finds there, as that may be a key.
+fn read_digests<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<KeyDigest>, D::Error> {
+    let problem = "keys must be a list of SHA-256 digests, each in 64 hexadecimal digits";
+    Vec::deserialize(deserializer).map_err(|_found| D::Error::custom(problem))
+}
+
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
 fn is_zero(value: &u64) -> bool {
     *value == 0
--- a/components/inventory/src/check.rs
+++ b/components/inventory/src/check.rs
@@ -268,7 +268,7 @@
             self.check_name(*line, &item, &account.name, &mut names);
             for (index, key) in account.keys.iter().enumerate() {
                 if let Some(owner) = owners.insert(*key, &account.name) {
-                    let problem = format!("key #{} also belongs to \"{owner}\"", index + 1);
+                    let problem = format!("key #{} also belongs to account \"{owner}\"", index + 1);
                     self.report(*line, item.clone(), problem);
                 }
             }
--- a/components/operator/tests/pages.rs
+++ b/components/operator/tests/pages.rs
@@ -50,7 +50,7 @@
 #[test]
 fn can_find_every_metric_on_its_page_and_in_the_code() {
     let page = read("docs/METRICS.md");
-    let sources = ["dispatch.rs", "effects.rs", "shell.rs", "log_records.rs"];
+    let sources = ["dispatch.rs", "effects.rs", "gate.rs", "shell.rs", "log_records.rs"];
     let code: String =
         sources.iter().map(|file| read(&format!("components/entry/src/{file}"))).collect();
     for name in METRIC_NAMES {
--- a/components/standins/src/fleet/service.rs
+++ b/components/standins/src/fleet/service.rs
@@ -1,5 +1,6 @@
 //! An instance of a plain service of the platform.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -29,6 +30,8 @@
 struct ServiceState {
     /// Ids of the requests that ran, in order.
     runs: Vec<String>,
+    /// Headers of these requests by lower-case name.
+    headers: Vec<BTreeMap<String, String>>,
     /// Number of requests that arrived.
     arrivals: usize,
     /// Value of `retry-after` in refusals; no header if empty.
@@ -64,6 +67,11 @@
         self.state.lock().expect("no thread panics while holding the lock").runs.clone()
     }
 
+    /// Headers of the requests that ran, by lower-case name, in the order of arrival.
+    pub fn run_headers(&self) -> Vec<BTreeMap<String, String>> {
+        self.state.lock().expect("no thread panics while holding the lock").headers.clone()
+    }
+
     /// Number of requests that arrived, those that did not run included.
     pub fn arrivals(&self) -> usize {
         self.state.lock().expect("no thread panics while holding the lock").arrivals
@@ -99,6 +107,7 @@
                 return StandInAnswer::Reply(503, headers, bytes::Bytes::new());
             }
             state.runs.push(id);
+            state.headers.push(request.headers.clone());
             headers.push(("x-server-stamp", self.name.clone()));
             let StandInRequest { method, path, query, body, .. } = request;
             let text = String::from_utf8_lossy(&body);
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -90,6 +90,11 @@
 
     /// Writes a configuration with the standard routes and `more_routes`, as operators do.
     pub fn configure(&self, version: u64, more_routes: Value) {
+        self.configure_with(version, more_routes, &Value::Null);
+    }
+
+    /// Writes a configuration that also has accounts, unless `accounts` is null.
+    pub fn configure_with(&self, version: u64, more_routes: Value, accounts: &Value) {
         let route = |name: &str, prefix: &str, kind: &str, service: &str| {
             json!({
                 "name": name, "host": "farm.example", "prefix": prefix, "routeKind": kind,
@@ -114,7 +119,7 @@
             "weightsMb": 100_000, "adapterSlots": 4, "kvCacheTokens": 100_000,
             "loadsPerS": 5.0, "models": models
         });
-        let configuration = json!({
+        let mut configuration = json!({
             "version": version, "routes": routes,
             "services": [
                 { "name": "llm", "slots": 64, "engine": engine },
@@ -125,6 +130,9 @@
                 "idleTimeoutMs": 5000
             }
         });
+        if !accounts.is_null() {
+            configuration["tenants"] = accounts.clone();
+        }
         self.store.put("op/config", configuration.to_string().as_bytes());
     }
 
--- a/src/cmd/inventory.rs
+++ b/src/cmd/inventory.rs
@@ -6,6 +6,7 @@
 use wagtailledge_decisions::configuration::ConfigurationChange;
 use wagtailledge_decisions::configuration::ItemMap;
 use wagtailledge_decisions::configuration::to_items;
+use wagtailledge_inventory::InventoryDocument;
 use wagtailledge_keyvalue::EtcdService;
 use wagtailledge_keyvalue::HttpHostList;
 use wagtailledge_operator::ConfigurationStore;
@@ -134,11 +135,25 @@
     let stored = read_stored(&configuration_store(&settings)).await?;
     println!("# revision {}", stored.head.revision);
     let document = wagtailledge_decisions::configuration::to_document(&stored.items);
-    let text = toml::to_string_pretty(&document).map_err(|error| vec![error.to_string()])?;
-    print!("{text}");
+    print!("{}", shown_document(document).map_err(|error| vec![error.to_string()])?);
     Ok(())
 }
 
+/// The inventory as TOML, with the number of each account's keys in place of their digests. The digests
+/// stay in the operators' own files; without them the text can't be applied by mistake.
+fn shown_document(mut document: InventoryDocument) -> Result<String, toml::ser::Error> {
+    let accounts = std::mem::take(&mut document.accounts);
+    let mut text = toml::to_string_pretty(&document)?;
+    for account in &accounts {
+        let mut fields = toml::Table::try_from(account)?;
+        fields.remove("keys");
+        let fields = toml::to_string_pretty(&fields)?;
+        let keys = account.keys.len();
+        text.extend(["\n[[account]]\n", &format!("# {keys} keys, not shown\n"), &fields]);
+    }
+    Ok(text)
+}
+
 async fn history(settings: impl AsRef<Path>) -> Result<(), Vec<String>> {
     let settings = load_settings(settings.as_ref())?;
     let stored = read_stored(&configuration_store(&settings)).await?;
--- a/tests/wire_names.rs
+++ b/tests/wire_names.rs
@@ -8,7 +8,8 @@
 const ALLOWED: [&str; 3] = ["platform", "components/standins/src/fleet", "tests"];
 
 /// Headers, paths and store keys; compared without regard to case.
-const NAMES: [&str; 20] = [
+const NAMES: [&str; 21] = [
+    "x-tenant",
     "x-server-stamp",
     "x-expect-instance",
     "x-not-executed",
@@ -32,7 +33,11 @@
 ];
 
 /// Fields of JSON bodies; compared with regard to case.
-const FIELDS: [&str; 22] = [
+const FIELDS: [&str; 26] = [
+    "apiKeys",
+    "ratePerS",
+    "uncachedTokens",
+    "token_stream",
     "fencingToken",
     "adapterSlots",
     "kvCacheTokens",
