Order waiting requests by the use of their accounts

By deadline alone, one account that sends a multiple of its usual load makes the requests of all others late. Without accounts the order is by rank and deadline as before (can_order_by_deadline_without_accounts).

--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -23,6 +23,7 @@
 use super::state::DrainStage;
 use super::state::HostReducer;
 use crate::admission::queue_key;
+use crate::admission::share_of;
 
 /// How long demand for an asset is reported after a refusal, so that a retry finds a replica.
 const RETRY_DEMAND_TIME: Duration = Duration::from_secs(30);
@@ -117,7 +118,8 @@
         request.stage = RequestStage::Waiting;
         let target = request.target;
         let wait_key = queue_key(key, request);
-        self.queue.push(target, wait_key);
+        let share = share_of(&self.catalog, request);
+        self.queue.push(target, wait_key, share);
         if self.rank_and_deadline(target).is_none() {
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Removed, effects);
             return;
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -32,8 +32,9 @@
 }
 
 impl HostReducer {
-    /// Dispatches waiting requests of all targets: the lowest rank first, and within a rank the
-    /// target with the fewest in flight, so that a burst for one model does not starve the others.
+    /// Dispatches waiting requests of all targets: the lowest rank first, within a rank the account that
+    /// is least ahead of its share, and of its targets the one with the fewest in flight, so that a burst
+    /// of an account or for a model does not starve the others.
     pub(super) fn dispatch_all_waiting(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         if self.queue.is_empty() {
             return;
@@ -42,12 +43,15 @@
             let mut heads: Vec<_> = self
                 .queue
                 .targets()
-                .map(|(target, head, _)| (head.rank, self.running_count(target), head, target))
+                .map(|(target, head, _)| {
+                    let used = self.queue.used(head.account);
+                    (head.rank, used, self.running_count(target), head, target)
+                })
                 .collect();
             heads.sort_unstable();
             let dispatched = heads
                 .into_iter()
-                .any(|(_, _, _, target)| self.dispatch_first(now, target, effects));
+                .any(|(_, _, _, _, target)| self.dispatch_first(now, target, effects));
             if !dispatched {
                 return;
             }
@@ -113,7 +117,10 @@
         let Some(upstream) = self.choose_upstream(now, head.request, &allowed) else {
             return false;
         };
-        self.queue.remove(target, head);
+        let share = self.queue.remove(target, head);
+        if let Some(share) = share.filter(|_| self.requests[head.request].attempts == 0) {
+            self.queue.charge(head.account, share);
+        }
         self.limits.record_spared(now, &blocked);
         self.dispatch(now, head.request, upstream, allowed.len(), effects);
         true
