--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -19,9 +19,11 @@
 use crate::time::Moment;
 
 use super::refusals::reason_text;
+use super::refusals::stage_text;
 use super::state::DrainStage;
 use super::state::HostReducer;
 use crate::admission::queue_key;
+use crate::admission::share_of;
 
 /// How long demand for an asset is reported after a refusal, so that a retry finds a replica.
 const RETRY_DEMAND_TIME: Duration = Duration::from_secs(30);
@@ -58,7 +60,7 @@
             self.unreported_usage.entry(asset).or_default().add(1, u64::from(tokens));
             self.recent_usage.add(now, asset, 1, u64::from(tokens));
         }
-        let rank = request.terms.as_ref().map_or(rank, |terms| terms.rank);
+        let rank = request.rank(&self.catalog, rank);
         let deadline = now.after(request.deadline.unwrap_or(default_deadline));
         let keyed = matches!(request.repeat, RequestRepeat::Keyed(_));
         let record = RequestRecord {
@@ -74,6 +76,7 @@
             may_have_run: false,
             claim: None,
             caller: request.caller,
+            account: request.account,
             terms: request.terms,
             runs: 0,
             tried: Vec::new(),
@@ -115,7 +118,8 @@
         request.stage = RequestStage::Waiting;
         let target = request.target;
         let wait_key = queue_key(key, request);
-        self.queue.push(target, wait_key);
+        let share = share_of(&self.catalog, request);
+        self.queue.push(target, wait_key, share);
         if self.rank_and_deadline(target).is_none() {
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Removed, effects);
             return;
@@ -389,13 +393,3 @@
         }
     }
 }
-
-/// Log value `reason` of an abandoned request.
-fn stage_text(stage: RequestStage) -> &'static str {
-    match stage {
-        RequestStage::Claiming => "waited for the ledger",
-        RequestStage::Waiting => "waited for an upstream",
-        RequestStage::Dispatched(_) => "waited for an answer",
-        RequestStage::Streaming(_) => "was being answered",
-    }
-}
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -197,6 +197,8 @@
         resumes: None,
         idempotency_key: None,
         caller: 1,
+        key: None,
+        identity_headers: &[],
     }
 }
 
