Test that items without accounts are written as before

Hosts of earlier builds reject unknown fields of items, and all hosts compare digests of the configuration, so the new fields must be left out when they are not used.

--- a/components/inventory/tests/accounts.rs
+++ b/components/inventory/tests/accounts.rs
@@ -72,6 +72,23 @@
     }
 }
 
+/// Hosts of earlier builds reject unknown fields, and digests of the configuration must be the same.
+#[test]
+fn can_write_items_without_accounts_as_before() {
+    let route = "[[route]]\nname = \"r\"\nhost = \"h\"\nprefix = \"/\"\nkind = \"idempotent\"\n\
+                 timeout = \"1s\"\nobjective = \"1s\"\nrank = 1\nattempts = 1\n\
+                 to = [{ service = \"s\", weight = 1 }]\n\
+                 [[service]]\nname = \"s\"\nclass = \"c\"\n\
+                 [[service.instance]]\nname = \"i\"\nzone = \"z\"\naddress = \"127.0.0.1:1\"\n\
+                 [[class]]\nname = \"c\"\nrank = 1\ndeadline = \"1s\"\n";
+    let document = parse_inventory("f", route).unwrap();
+    let text = serde_json::to_string(&document).unwrap();
+    let items = serde_json::to_string(&to_items(&document)).unwrap();
+    for name in ["keys_required", "public", "account"] {
+        assert!(!text.contains(name) && !items.contains(name), "{name}: {text}");
+    }
+}
+
 #[test]
 fn can_keep_the_key_of_an_account_while_it_is_configured() {
     let mut catalog = InventoryCatalog::default();
