Take the lease over at once from an earlier process of the same host

The record names the holder's process, and one process runs in place of the other, so the earlier one has ended: it sends no orders, and no promise can extend its lease.

--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -271,7 +271,7 @@
             return true;
         };
         let timing = context.timing;
-        if record.ended {
+        if record.ended || record.is_of_earlier_process(context.me) {
             return true;
         }
         let expired_at = observed.unchanged_since.after(timing.lease_ttl + timing.lease_margin);
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use support::identity;
 use support::leader::TestLeader;
 use wagtailledge_decisions::HostEffect;
 use wagtailledge_decisions::HostEvent;
+use wagtailledge_decisions::HostIdentity;
 use wagtailledge_decisions::TimingRules;
 use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::lease::LeaseRecord;
@@ -315,3 +317,40 @@
         }
     }
 }
+
+/// Stores the lease of a holder with this name and incarnation, and returns how long the host of the test
+/// takes to acquire it.
+fn time_to_acquire(holder: &str, incarnation: u64) -> Duration {
+    let mut leader = TestLeader::before_election(INVENTORY, "llm");
+    let me = identity("east-1");
+    let successor = HostIdentity { name: "east-2".to_owned(), ..me.clone() };
+    let record = LeaseRecord {
+        holder: HostIdentity { name: holder.to_owned(), incarnation, ..me.clone() },
+        epoch: 7,
+        renewals: 3,
+        successors: vec![successor],
+        ended: false,
+    };
+    leader.store_value("lease/east", &record.to_value());
+    let started = leader.host.now;
+    while stored_lease(&leader).epoch == 7 {
+        leader.advance(10);
+        assert!(leader.host.now.since(started) < Duration::from_secs(2_000), "no takeover");
+    }
+    assert_eq!(stored_lease(&leader).holder, me);
+    leader.host.now.since(started)
+}
+
+/// A host that was killed with all others and came back first waited for the lease, and for promises, of its own
+/// earlier process. With its successors gone for good, no host led for 990 s.
+#[test]
+fn can_take_over_at_once_from_an_earlier_process_of_the_same_host() {
+    let took = time_to_acquire("east-1", 99);
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
+#[test]
+fn can_wait_for_the_lease_of_another_host() {
+    let took = time_to_acquire("east-9", 99);
+    assert!(took > TimingRules::default().lease_ttl, "{took:?}");
+}
