Choose engines by expected work where the pace is stated

Cause: the choice counted requests, so engines at pace 1.2 got as many as those at 0.55, and long prompts queued before short ones. Change: routing/work estimates for each replica when it would begin a request, from pending prompts, load reports, the stated pace (fourth figure of the load header), and the parts that the engine is expected to keep. The cheapest is chosen. Refusal at once if no replica can begin before the deadline.

--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -1,5 +1,7 @@
 //! Side effects that the reducer requests from the runtime.
 
+use std::time::Duration;
+
 use wagtailledge_inventory::UpstreamKey;
 
 use crate::identity::HostIdentity;
@@ -106,6 +108,8 @@
     Store(StoreCall),
     /// Sends an order to an engine.
     Order(EngineOrder),
+    /// Records a time under the name of a timer metric.
+    RecordTime(&'static str, Duration),
     /// Logs a decision.
     LogDecision(DecisionRecord),
 }
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -108,6 +108,8 @@
     pub running: u32,
     /// Requests in its own queue.
     pub waiting: u32,
+    /// How long work takes there at this moment, in percent of the usual time; `None` if it does not say.
+    pub pace: Option<u16>,
 }
 
 /// What an answer says about the upstream that sent it.
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -69,6 +69,7 @@
         };
         if request.first_part.is_none() {
             request.first_part = Some(now);
+            self.first_event_arrived(now, key, effects);
             self.bind_begun(now, key, upstream, effects);
         }
     }
@@ -154,6 +155,7 @@
         };
         let target = request.target;
         self.tracker.record_end(upstream);
+        self.work.record_ended(key);
         self.decrement_running(target);
         if let RequestTarget::Asset(asset) = target {
             self.replica_probes.remove(&(asset, upstream));
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -19,7 +19,6 @@
 use crate::time::Moment;
 
 use super::refusals::reason_text;
-use super::state::DrainStage;
 use super::state::HostReducer;
 use crate::admission::queue_key;
 
@@ -120,12 +119,8 @@
             self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Removed, effects);
             return;
         }
-        if self.quarantine_rule(now, key).is_some() {
-            self.refuse(key, RefusalOutcome::NotRun, RefusalReason::Quarantined, effects);
-            return;
-        }
-        if self.drain == DrainStage::Over {
-            self.refuse(key, RefusalOutcome::NotRun, RefusalReason::HostEnds, effects);
+        if let Some(reason) = self.reason_not_to_send(now, key) {
+            self.refuse(key, RefusalOutcome::NotRun, reason, effects);
             return;
         }
         self.dispatch_waiting(now, target, effects);
@@ -206,7 +201,11 @@
         if let Some(rule) = rule {
             refusal.retry_after = rule.until.since(self.last_event);
         }
-        let inputs = rule.map_or_else(String::new, |rule| format!("prompt parts {}", rule.name()));
+        let mut inputs =
+            rule.map_or_else(String::new, |rule| format!("prompt parts {}", rule.name()));
+        if reason == RefusalReason::EnginesBusy {
+            inputs = self.delay_by_work(key, &mut refusal);
+        }
         if !request.settled {
             effects.push(HostEffect::LogDecision(DecisionRecord {
                 kind: DecisionKind::Refuse,
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::time::Moment;
 
 use super::state::HostReducer;
+use super::work::ChosenUpstream;
 
 /// Fewest shared prompt tokens for which requests are sent to the same upstream. For shorter
 /// prefixes, uneven load costs more time than processing the prefix again.
@@ -110,15 +111,21 @@
         let Some((head, allowed)) = head else {
             return false;
         };
-        let Some(upstream) = self.choose_upstream(now, head.request, &allowed) else {
+        let Some(chosen) = self.choose_upstream(now, head.request, &allowed) else {
             return false;
         };
         self.queue.remove(target, head);
         self.limits.record_spared(now, &blocked);
-        self.dispatch(now, head.request, upstream, allowed.len(), effects);
+        self.dispatch(now, head.request, &chosen, allowed.len(), effects);
         true
     }
 
+    /// Number of hosts that share budgets with this one, itself included; `None` while neither a host
+    /// list nor a leader has told it.
+    pub(super) fn host_count(&self) -> Option<usize> {
+        self.members.count().map(|others| others + 1).max(self.leader_host_count)
+    }
+
     /// The service whose retry budget a request for `target` counts towards.
     pub(super) fn service_of(&self, target: RequestTarget) -> Option<ServiceKey> {
         match target {
@@ -173,25 +180,39 @@
         now: Moment,
         key: RequestKey,
         candidates: &[UpstreamCandidate],
-    ) -> Option<UpstreamKey> {
+    ) -> Option<ChosenUpstream> {
         let request = &self.requests[key];
         let untried: Vec<UpstreamCandidate> = candidates
             .iter()
             .copied()
             .filter(|candidate| !request.tried.contains(&candidate.key))
             .collect();
-        let affinity = self.affinity_hash(key);
         if !untried.is_empty()
-            && let Some(chosen) = self.tracker.choose(now, &untried, affinity, &mut self.rng)
+            && let Some(chosen) = self.choose_among(now, key, &untried)
         {
             return Some(chosen);
         }
-        self.tracker.choose(now, candidates, affinity, &mut self.rng)
+        self.choose_among(now, key, candidates)
+    }
+
+    /// Chooses one of the open candidates, by expected work or by the number of requests.
+    fn choose_among(
+        &mut self,
+        now: Moment,
+        key: RequestKey,
+        candidates: &[UpstreamCandidate],
+    ) -> Option<ChosenUpstream> {
+        if self.chooses_by_work(candidates) {
+            return self.choose_by_work(now, key, candidates);
+        }
+        let affinity = self.affinity_hash(key);
+        let chosen = self.tracker.choose(now, candidates, affinity, &mut self.rng);
+        chosen.map(ChosenUpstream::Requests)
     }
 
     /// Hash of the prompt prefix that the request shares with others; `None` if the prefix is short
     /// or the route is not sticky.
-    fn affinity_hash(&self, key: RequestKey) -> Option<u64> {
+    pub(super) fn affinity_hash(&self, key: RequestKey) -> Option<u64> {
         let request = &self.requests[key];
         let terms = request.terms.as_ref().filter(|terms| terms.sticky)?;
         // The last part is specific to this request.
@@ -208,10 +229,11 @@
         &mut self,
         now: Moment,
         key: RequestKey,
-        upstream: UpstreamKey,
+        chosen: &ChosenUpstream,
         candidate_count: usize,
         effects: &mut Vec<HostEffect>,
     ) {
+        let upstream = chosen.key();
         let request = &mut self.requests[key];
         request.stage = RequestStage::Dispatched(upstream);
         request.attempts += 1;
@@ -223,6 +245,7 @@
             self.retry_budget.record_retry(now, service);
         }
         self.tracker.record_dispatch(upstream);
+        self.record_work(now, key, chosen);
         self.limits.record_dispatch(now, upstream);
         *self.running.entry(target).or_default() += 1;
         let subject = self.target_name(target);
@@ -236,15 +259,15 @@
             }
             RequestTarget::Service(_) => String::new(),
         };
-        let chosen = self.catalog.upstreams.get(upstream);
+        let record = self.catalog.upstreams.get(upstream);
         effects.push(HostEffect::LogDecision(DecisionRecord {
             kind: DecisionKind::Route,
             ticket: Some(ticket),
             subject,
-            choice: chosen.map_or_else(String::new, |record| record.name.clone()),
-            reason: if attempt == 1 { "least expected load" } else { "retry" },
+            choice: record.map_or_else(String::new, |record| record.name.clone()),
+            reason: if attempt == 1 { chosen.reason() } else { "retry" },
             alternatives: candidate_count.saturating_sub(1),
-            inputs: String::new(),
+            inputs: self.describe_choice(chosen),
         }));
         effects.push(HostEffect::Dispatch { request: key, attempt, ticket, upstream, asset, rank });
     }
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -20,6 +20,7 @@
 mod status;
 mod stored_record;
 mod usage;
+mod work;
 
 pub use names::RouteMatch;
 pub use names::RouteResolution;
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -93,6 +93,7 @@
         RefusalReason::UnknownOrigin => "the software version of its stream is not known",
         RefusalReason::NoSuchSoftware => "no upstream with the software version of its stream",
         RefusalReason::UpstreamsPaused => "its upstreams asked for pauses",
+        RefusalReason::EnginesBusy => "no replica can begin it in time",
         RefusalReason::NoCapacity => "no engine has room",
         RefusalReason::UpstreamFailed => "upstream failed",
         RefusalReason::LedgerAway => "ledger could not be reached",
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -46,6 +46,7 @@
 use crate::routing::ReplicaView;
 use crate::routing::TableRange;
 use crate::routing::UpstreamTracker;
+use crate::routing::WorkTracker;
 use crate::store::StoreCallId;
 use crate::store::StoreOutcome;
 use crate::time::Moment;
@@ -104,6 +105,7 @@
     pub(super) members: MemberDirectory,
     pub(super) view: ReplicaView,
     pub(super) tracker: UpstreamTracker,
+    pub(super) work: WorkTracker,
     pub(super) limits: HostLimits,
     pub(super) crashes: CrashObserver,
     pub(super) quarantine: HostQuarantine,
@@ -200,6 +202,7 @@
             members: MemberDirectory::default(),
             view: ReplicaView::new(table_seed),
             tracker: UpstreamTracker::default(),
+            work: WorkTracker::default(),
             limits: HostLimits::new(now, table_seed),
             crashes: CrashObserver::default(),
             quarantine: HostQuarantine::default(),
@@ -289,9 +292,7 @@
                 });
                 self.plan(now, effects);
             }
-            HostEvent::LoadReport(upstream, load) => {
-                self.tracker.record_load(now, upstream, load.running + load.waiting);
-            }
+            HostEvent::LoadReport(upstream, load) => self.load_reported(now, upstream, load),
             HostEvent::LimitStatement(upstream, dispatched, notice) => {
                 self.limit_observed(now, upstream, dispatched, notice, effects);
             }
@@ -346,12 +347,6 @@
         }
     }
 
-    /// Number of hosts that share budgets with this one, itself included; `None` while neither a host
-    /// list nor a leader has told it.
-    pub(super) fn host_count(&self) -> Option<usize> {
-        self.members.count().map(|others| others + 1).max(self.leader_host_count)
-    }
-
     /// Detects that this process was frozen, and delays dispatches because its view of the
     /// upstreams may be out of date.
     fn detect_freeze(&mut self, now: Moment) {
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -163,6 +163,8 @@
     NoSuchSoftware,
     /// The upstreams that could serve the request asked for pauses beyond the deadline.
     UpstreamsPaused,
+    /// None of the engines with its replicas can begin it before the deadline.
+    EnginesBusy,
     /// No engine has capacity for a replica within the caps on replicas.
     NoCapacity,
     /// An upstream failed, and no further attempt is made.
--- a/components/decisions/src/routing/tracker.rs
+++ b/components/decisions/src/routing/tracker.rs
@@ -97,6 +97,18 @@
         candidates: &[UpstreamCandidate],
         affinity: Option<u64>,
         rng: &mut SmallRng,
+    ) -> Option<UpstreamKey> {
+        self.choose_by_pace(now, candidates, affinity, |_| 1.0, rng)
+    }
+
+    /// As [`Self::choose`], with the load of the two random ones weighted by their pace.
+    pub fn choose_by_pace(
+        &self,
+        now: Moment,
+        candidates: &[UpstreamCandidate],
+        affinity: Option<u64>,
+        pace: impl Fn(UpstreamKey) -> f64,
+        rng: &mut SmallRng,
     ) -> Option<UpstreamKey> {
         let open: Vec<&UpstreamCandidate> =
             candidates.iter().filter(|candidate| self.is_open(now, candidate)).collect();
@@ -113,9 +125,9 @@
                 let first = rng.random_range(0..count);
                 let second = (first + rng.random_range(1..count)) % count;
                 let (first, second) = (pool[first], pool[second]);
-                let first_is_lighter =
-                    self.expected_load(now, first.key) <= self.expected_load(now, second.key);
-                Some(if first_is_lighter { first.key } else { second.key })
+                // The request itself counts, so that the pace also decides between idle upstreams.
+                let load = |key| f64::from(self.expected_load(now, key) + 1) * pace(key);
+                Some(if load(first.key) <= load(second.key) { first.key } else { second.key })
             }
         }
     }
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::retry::RetryRules;
+use crate::routing::ChoiceBasis;
 
 /// Timeouts and intervals of one deployment; all hosts must use the same values.
 #[derive(Debug, Clone, PartialEq)]
@@ -49,6 +50,8 @@
     pub refusal_lead: Duration,
     /// Limits on the retries of all hosts together.
     pub retries: RetryRules,
+    /// What the choice among the upstreams of a request is based on.
+    pub choice: ChoiceBasis,
 }
 
 impl Default for TimingRules {
@@ -73,6 +76,7 @@
             change_bound: None,
             refusal_lead: Duration::from_millis(40),
             retries: RetryRules::default(),
+            choice: ChoiceBasis::default(),
         }
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`adapters`]: the connections to the outside that an entry host is built from.
 //! - [`shell`]: the runtime, which turns I/O into events and executes effects.
+//! - [`rules`]: the rules of the reducer from the settings.
 //! - [`run`]: starts an entry host, and drains it before the process ends.
 
 pub mod adapters;
@@ -11,6 +12,7 @@
 mod gate;
 mod log_records;
 pub mod metrics;
+pub mod rules;
 pub mod run;
 mod scrape;
 pub mod shell;
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -222,6 +222,8 @@
     let (framing, cause) = end.map_or(("", ""), |end| (end.framing.name(), end.cause.name()));
     let open_bytes = end.map_or(0, |end| end.open_bytes);
     let (limit, asked_pause_ms) = describe_statement(&times.statement);
+    let pace = times.statement.load.and_then(|load| load.pace);
+    let pace = pace.map_or_else(String::new, |percent| percent.to_string());
     info!(
         target: "attempt",
         host = host, request = request_id, upstream = upstream, attempt = attempt,
@@ -229,7 +231,7 @@
         pause_ms = pause_ms as u64, took_ms = took_ms as u64,
         framing = framing, end = cause, open_bytes = open_bytes, limit = limit.as_str(),
         leaving = times.statement.leaving, asked_pause_ms = asked_pause_ms,
-        prompt = times.prompt.as_str();
+        pace = pace.as_str(), prompt = times.prompt.as_str();
         "{request_id} at {upstream}: {outcome}"
     );
 }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 24] = [
+pub const METRIC_NAMES: [&str; 25] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -27,6 +27,7 @@
     "decision.quarantine",
     "decision.software",
     "decision.register",
+    "route.estimate_error",
     "request.time",
     "request.waiting",
     "request.open",
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -15,8 +15,6 @@
 use tokio::sync::mpsc;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::HostIdentity;
-use wagtailledge_decisions::TimingRules;
-use wagtailledge_decisions::retry::RetryRules;
 use wagtailledge_frontend::CallerGate;
 use wagtailledge_frontend::CompletionServer;
 use wagtailledge_frontend::RelayServer;
@@ -30,13 +28,15 @@
 use wagtailledge_settings::HostSettings;
 use wagtailledge_settings::file::DrainSection;
 use wagtailledge_settings::file::PlatformProtocol;
-use wagtailledge_settings::file::TimingSection;
 
 use crate::adapters::EventSource;
 use crate::adapters::HostAdapters;
 use crate::adapters::HostFrontend;
 use crate::gate::ShellGate;
 use crate::metrics::HostMetrics;
+use crate::rules::choice_basis;
+use crate::rules::retry_rules;
+use crate::rules::timing_rules;
 use crate::shell::EntryShell;
 use crate::shell::ShellParts;
 
@@ -133,33 +133,6 @@
     metrics_address: Option<SocketAddr>,
 }
 
-/// Durations from `[timing]`, with defaults for those not set.
-pub fn timing_rules(section: &TimingSection) -> TimingRules {
-    let mut rules = TimingRules::default();
-    let fields = [
-        (section.heartbeat, &mut rules.heartbeat),
-        (section.peer_timeout, &mut rules.peer_timeout),
-        (section.lease_ttl, &mut rules.lease_ttl),
-        (section.lease_renewal, &mut rules.lease_renewal),
-        (section.lease_margin, &mut rules.lease_margin),
-        (section.promise_ttl, &mut rules.promise_ttl),
-        (section.max_extension, &mut rules.max_extension),
-        (section.order_lifetime, &mut rules.order_lifetime),
-        (section.retire_grace, &mut rules.retire_grace),
-        (section.eviction_idle, &mut rules.eviction_idle),
-        (section.notice_pause, &mut rules.notice_pause),
-    ];
-    for (configured, rule) in fields {
-        if let Some(span) = configured {
-            *rule = span.0;
-        }
-    }
-    if let Some(span) = section.configuration_read {
-        rules.configuration_read = Some(span.0);
-    }
-    rules
-}
-
 impl EntryHost {
     /// Starts an entry host on the current thread. The host reaches the outside through `adapters`.
     ///
@@ -172,6 +145,7 @@
     ) -> Result<Self, StartError> {
         let mut timing = timing_rules(&settings.timing);
         timing.retries = retry_rules(settings);
+        timing.choice = choice_basis(settings.routing.choice);
         if settings.platform.protocol == PlatformProtocol::Store {
             // The store announces each configuration, so none is polled.
             timing.configuration_read = None;
@@ -312,14 +286,6 @@
     }
 }
 
-fn retry_rules(settings: &HostSettings) -> RetryRules {
-    RetryRules {
-        ratio: settings.retries.ratio,
-        allowance: settings.retries.allowance,
-        window: settings.retries.window.0,
-    }
-}
-
 fn start_metrics(
     settings: &HostSettings,
     metrics: &Rc<HostMetrics>,
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -129,6 +129,27 @@
     pub stream_pause: TimeSpan,
 }
 
+/// What the choice among the upstreams of a request is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingChoice {
+    /// Expected work for a service whose upstreams state their pace, number of requests for others.
+    #[default]
+    Auto,
+    /// Expected work.
+    Work,
+    /// Number of requests.
+    Requests,
+}
+
+/// `[routing]`: choice of the upstream for each request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSection {
+    /// What the choice is based on.
+    pub choice: RoutingChoice,
+}
+
 /// `[drain]`: timing of an orderly shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -195,6 +216,8 @@
     pub drain: DrainSection,
     /// `[retries]`: budget of retries per service.
     pub retries: RetrySection,
+    /// `[routing]`: choice of the upstream for each request.
+    pub routing: RoutingSection,
     /// `[scopes]`: placement scope by availability zone. An unlisted zone is its own scope.
     pub scopes: BTreeMap<String, String>,
     /// `[metrics]`: where metrics are sent.
@@ -219,6 +242,7 @@
             ("[platform]", self.platform == other.platform),
             ("[security]", self.security == other.security),
             ("[limits]", self.limits == other.limits),
+            ("[routing]", self.routing == other.routing),
             ("[scopes]", self.scopes == other.scopes),
             ("[metrics]", self.metrics == other.metrics),
             ("[timing]", self.timing == other.timing),
@@ -297,6 +321,7 @@
         let limits = reader.optional_section(root, "limits").unwrap_or_default();
         let drain = reader.optional_section(root, "drain").unwrap_or_default();
         let retries = reader.optional_section(root, "retries").unwrap_or_default();
+        let routing = reader.optional_section(root, "routing").unwrap_or_default();
         let scopes = reader.optional_section(root, "scopes").unwrap_or_default();
         let metrics = reader.optional_section(root, "metrics").unwrap_or_default();
         let timing = reader.optional_section(root, "timing").unwrap_or_default();
@@ -308,6 +333,7 @@
             limits,
             drain,
             retries,
+            routing,
             scopes,
             metrics,
             timing,
--- a/components/upstreams/src/openai.rs
+++ b/components/upstreams/src/openai.rs
@@ -96,7 +96,7 @@
             let request = request.on_own_connection();
             let answer = pool.exchange(request, CONTROL_TIMEOUT).await.ok()?;
             let report: LoadReport = serde_json::from_slice(&answer.body).ok()?;
-            Some(UpstreamLoad { running: report.running, waiting: report.queued })
+            Some(UpstreamLoad { running: report.running, waiting: report.queued, pace: None })
         }
         .boxed_local()
     }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use wagtailledge_entry::run::timing_rules;
+use wagtailledge_entry::rules::timing_rules;
 use wagtailledge_operator::read_inventory;
 
 use super::lines;
