Choose engines by the median of stated paces; play the load of long and short prompts

Cause: the average of paces followed peaks of some steps, so that engines of pace 0.55 were taken for slow ones and got no more than before. A request is not refused while a replica loads.

--- a/components/decisions/src/host/work.rs
+++ b/components/decisions/src/host/work.rs
@@ -187,7 +187,8 @@
         }
         let prompt = self.prompt_work(key)?;
         let candidates = self.candidates(now, request.target).open;
-        if candidates.is_empty() || !self.chooses_by_work(&candidates) {
+        let may_begin_elsewhere = candidates.is_empty() || self.is_loading(request.target);
+        if may_begin_elsewhere || !self.chooses_by_work(&candidates) {
             return None;
         }
         let time_left = request.deadline.since(now);
--- a/components/decisions/src/routing/engine_work.rs
+++ b/components/decisions/src/routing/engine_work.rs
@@ -7,7 +7,7 @@
 use crate::request::RequestKey;
 use crate::time::Moment;
 
-use super::pace::PaceAverage;
+use super::pace::UsualPace;
 
 /// Time constant with which a load report loses weight against the engine's average: the requests of
 /// the report have mostly ended by then.
@@ -36,7 +36,7 @@
 /// Work of one engine, as far as this host knows it.
 #[derive(Debug, Clone, Default)]
 pub(super) struct EngineWork {
-    pub(super) pace: PaceAverage,
+    pub(super) pace: UsualPace,
     /// Prompts of this host without a first event.
     pending: BTreeMap<RequestKey, PendingPrompt>,
     /// Streams of this host with a first event.
--- a/components/decisions/src/routing/work.rs
+++ b/components/decisions/src/routing/work.rs
@@ -54,7 +54,7 @@
 const ZONE_COST_MS: f64 = 2.0;
 /// Random part of the cost, relative to the cost. Hosts know as little about each other's latest choices
 /// as their reports are old, and must not all choose the same engine.
-const RANDOM_SHARE: f64 = 0.1;
+const RANDOM_SHARE: f64 = 0.2;
 
 /// Probability that an engine keeps a prefix that this host sent it recently.
 const SENT_HIT: f64 = 0.9;
@@ -171,9 +171,9 @@
         }
     }
 
-    /// Average pace of an upstream; `None` if it has not stated it.
+    /// Usual pace of an upstream; `None` if it has not stated it.
     pub fn pace(&self, key: UpstreamKey) -> Option<f64> {
-        self.engines.get(key)?.pace.average()
+        self.engines.get(key)?.pace.usual()
     }
 
     /// Records that a request was sent to the chosen engine.
@@ -282,7 +282,7 @@
     ) -> Vec<WorkEstimate> {
         let engines = || candidates.iter().filter_map(|candidate| self.engines.get(candidate.key));
         // Engines that have said nothing are taken for average ones among the candidates.
-        let usual_pace = mean(engines().filter_map(|engine| engine.pace.average())).unwrap_or(1.0);
+        let usual_pace = mean(engines().filter_map(|engine| engine.pace.usual())).unwrap_or(1.0);
         let usual_streams = mean(engines().filter_map(EngineWork::average_running));
         let usual = (usual_pace, usual_streams.unwrap_or(USUAL_STREAMS));
         let ranks = rendezvous_ranks(candidates, prompt);
@@ -300,7 +300,7 @@
     ) -> WorkEstimate {
         let unknown = EngineWork::default();
         let engine = self.engines.get(candidate.key).unwrap_or(&unknown);
-        let pace = engine.pace.expected(now).unwrap_or(usual_pace);
+        let pace = engine.pace.usual().unwrap_or(usual_pace);
         let token_ms = self.token_ms * pace;
         let streams = engine.streams(now, usual_streams);
         let of_others = streams * UNPROCESSED_SHARE + engine.waiting(now);
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -130,7 +130,12 @@
 
     /// Creates a host with [`INVENTORY`] in force and all its models ready on the engine.
     pub fn new() -> Self {
-        let mut host = Self::with_inventory(INVENTORY);
+        Self::with_models(TimingRules::default())
+    }
+
+    /// Like [`Self::new`], with other timing rules.
+    pub fn with_models(timing: TimingRules) -> Self {
+        let mut host = Self::with_timing(INVENTORY, timing);
         let ready = |name: &str| {
             ReplicaRow(format!("{name}@1"), "llm".to_owned(), Some(ReplicaState::Ready))
         };
