--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -1,7 +1,5 @@
 //! Side effects that the reducer requests from the runtime.
 
-use std::time::Duration;
-
 use wagtailledge_inventory::UpstreamKey;
 
 use crate::identity::HostIdentity;
@@ -11,6 +9,7 @@
 use crate::request::RecordedAnswer;
 use crate::request::RequestKey;
 use crate::request::RequestTicket;
+use crate::routing::FirstEvent;
 use crate::store::StoreCall;
 
 /// Category of a decision record.
@@ -108,8 +107,8 @@
     Store(StoreCall),
     /// Sends an order to an engine.
     Order(EngineOrder),
-    /// Records a time under the name of a timer metric.
-    RecordTime(&'static str, Duration),
+    /// Records how far an estimate of a request's first event was from the observed one.
+    RecordEstimate(FirstEvent),
     /// Logs a decision.
     LogDecision(DecisionRecord),
 }
--- a/components/decisions/src/host/work.rs
+++ b/components/decisions/src/host/work.rs
@@ -21,13 +21,15 @@
 use super::state::DrainStage;
 use super::state::HostReducer;
 
-/// Timer of the difference between the expected and the observed time to a first event.
-const ESTIMATE_ERROR: &str = "route.estimate_error";
 /// Share of the retry delay that is added at random, so that refused callers do not return together.
 const RETRY_SPREAD: f64 = 0.25;
 /// Shortest retry delay: a shorter one would meet the same queues.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Highest number of tokens that a prompt is read as, so that an absurd declaration does not outweigh all
+/// others: engines keep 240,000 tokens.
+const MAX_PROMPT_TOKENS: u32 = 240_000;
+
 /// Upstream that was chosen for a request, and by what.
 #[derive(Debug, Clone)]
 pub(super) enum ChosenUpstream {
@@ -104,7 +106,7 @@
         let sum = |parts: &[(u64, u32)]| {
             parts.iter().fold(0, |sum: u32, (_, tokens)| sum.saturating_add(*tokens))
         };
-        let tokens = terms.prompt.input.max(sum(parts));
+        let tokens = terms.prompt.input.max(sum(parts)).min(MAX_PROMPT_TOKENS);
         if tokens == 0 {
             return None;
         }
@@ -114,7 +116,7 @@
         let asset = xxh3_64_with_seed(self.target_name(request.target).as_bytes(), 0);
         Some(PromptWork {
             tokens,
-            shared: sum(shared_parts),
+            shared: sum(shared_parts).min(tokens),
             prefix: (!shared_parts.is_empty()).then(|| shared_parts.iter().fold(asset, digest)),
             sticky: terms.sticky,
             output: terms.prompt.output,
@@ -136,8 +138,7 @@
         effects: &mut Vec<HostEffect>,
     ) {
         if let Some(first) = self.work.record_first_event(now, key) {
-            let error = first.expected.abs_diff(first.observed);
-            effects.push(HostEffect::RecordTime(ESTIMATE_ERROR, error));
+            effects.push(HostEffect::RecordEstimate(first));
         }
     }
 
--- a/components/decisions/src/routing/work.rs
+++ b/components/decisions/src/routing/work.rs
@@ -121,6 +121,13 @@
     pub observed: Duration,
 }
 
+impl FirstEvent {
+    /// Difference between the expected and the observed time.
+    pub fn error(&self) -> Duration {
+        self.expected.abs_diff(self.observed)
+    }
+}
+
 /// Attempt that was sent to an engine chosen by expected work.
 #[derive(Debug, Clone, Copy)]
 struct SentAttempt {
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -50,7 +50,9 @@
             HostEffect::Broadcast(receivers, message) => self.send_message(&receivers, *message),
             HostEffect::Store(call) => self.call_store(call),
             HostEffect::Order(order) => self.send_order(order),
-            HostEffect::RecordTime(name, span) => self.parts.metrics.time(name, span),
+            HostEffect::RecordEstimate(first) => {
+                self.parts.metrics.time("route.estimate_error", first.error());
+            }
             HostEffect::LogDecision(record) => self.record_decision(&record),
         }
     }
