--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -9,6 +9,7 @@
 use crate::request::RecordedAnswer;
 use crate::request::RequestKey;
 use crate::request::RequestTicket;
+use crate::routing::FirstEvent;
 use crate::store::StoreCall;
 
 /// Category of a decision record.
@@ -106,6 +107,8 @@
     Store(StoreCall),
     /// Sends an order to an engine.
     Order(EngineOrder),
+    /// Records how far an estimate of a request's first event was from the observed one.
+    RecordEstimate(FirstEvent),
     /// Logs a decision.
     LogDecision(DecisionRecord),
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`adapters`]: the connections to the outside that an entry host is built from.
 //! - [`shell`]: the runtime, which turns I/O into events and executes effects.
 //! - [`startup`]: requests that arrive before the first configuration.
+//! - [`rules`]: the rules of the reducer from the settings.
 //! - [`run`]: starts an entry host, and drains it before the process ends.
 
 pub mod adapters;
@@ -12,6 +13,7 @@
 mod gate;
 mod log_records;
 pub mod metrics;
+pub mod rules;
 pub mod run;
 mod scrape;
 pub mod shell;
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -27,6 +27,7 @@
     "decision.quarantine",
     "decision.software",
     "decision.register",
+    "route.estimate_error",
     "request.time",
     "request.waiting",
     "request.open",
