Find zones that cannot be reached by the host's own observations

Cause: when a zone is cut off, each host ejects each engine there after three failures of its own. Attempts on open connections hang until their deadlines, and streams stop without an event of the reducer.

Change: a wait of 200 ms without anything from a zone causes checks of three of its upstreams. Three failed upstreams within 750 ms make the zone unreachable: it gets only probes, and silent attempts there are ended (new effect EndAttempt), so that those that may run again go elsewhere. The runtime reports silent streams (new event StreamsObserved). New setting [routing] shared_failures; "auto" is off until the pace of upstreams is known.

Not measured under load.

--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -55,6 +55,11 @@
     pub stage: RequestStage,
     /// Number of dispatches so far.
     pub attempts: u32,
+    /// When it was last dispatched; the arrival before that.
+    pub dispatched: Moment,
+    /// Number of the last attempt that this host ended because its upstream cannot be reached; 0 if
+    /// there is none.
+    pub ended_attempt: u32,
     /// Whether the caller was answered or refused, or has disconnected. Only a call that must not
     /// be cancelled continues after that.
     pub settled: bool,
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -96,6 +96,9 @@
     Refuse(RequestTicket, CallerRefusal),
     /// Closes the upstream connection of this attempt, given by ticket and attempt number.
     Cancel(RequestTicket, u32),
+    /// Ends this attempt, given by ticket and attempt number, as if its upstream had failed. The runtime
+    /// reports the outcome with `AttemptEnded`.
+    EndAttempt(RequestTicket, u32),
     /// Checks whether an upstream accepts connections.
     CheckUpstream(UpstreamKey),
     /// Sends a message to another entry host.
--- a/components/decisions/src/event.rs
+++ b/components/decisions/src/event.rs
@@ -156,6 +156,15 @@
     Silent,
 }
 
+/// Streams in progress that are silent although their callers keep up.
+#[derive(Debug, Clone, Default)]
+pub struct StreamObservation {
+    /// Request and attempt number of each silent stream, and when its last part arrived.
+    pub silent: Vec<(RequestKey, u32, Moment)>,
+    /// Upstreams of the other streams, and when something last arrived from them.
+    pub heard: Vec<(UpstreamKey, Moment)>,
+}
+
 /// Input event of the reducer.
 #[derive(Debug, Clone)]
 pub enum HostEvent {
@@ -172,6 +181,8 @@
     AttemptAdvanced(RequestKey, u32),
     /// An attempt, given by request and attempt number, ended.
     AttemptEnded(RequestKey, u32, AttemptOutcome),
+    /// Some streams in progress are silent; repeated while they are.
+    StreamsObserved(StreamObservation),
     /// A message from another entry host was received.
     Peer(Box<PeerEnvelope>),
     /// A call to the key-value service ended.
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -27,6 +27,7 @@
     /// Forwards an answer that begins, unless the request is settled or the attempt superseded.
     pub(super) fn attempt_started(
         &mut self,
+        now: Moment,
         key: RequestKey,
         attempt: u32,
         effects: &mut Vec<HostEffect>,
@@ -50,6 +51,7 @@
         let target = request.target;
         self.clear_replica_backoff(target, upstream);
         self.record_success(upstream, effects);
+        self.reach_answered(now, upstream, now, effects);
     }
 
     /// Records that the first part of the answer of an attempt arrived.
@@ -70,6 +72,7 @@
         if request.first_part.is_none() {
             request.first_part = Some(now);
             self.bind_begun(now, key, upstream, effects);
+            self.reach_answered(now, upstream, now, effects);
         }
     }
 
@@ -159,6 +162,7 @@
             self.replica_probes.remove(&(asset, upstream));
         }
         self.observe_attempt_end(now, key, upstream, &outcome, effects);
+        self.reach_ended(now, key, upstream, &outcome, effects);
         match outcome {
             AttemptOutcome::Streamed => self.remove_request(key),
             AttemptOutcome::Answered(answer) => {
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -70,6 +70,8 @@
             deadline,
             stage: if keyed { RequestStage::Claiming } else { RequestStage::Waiting },
             attempts: 0,
+            dispatched: now,
+            ended_attempt: 0,
             settled: false,
             may_have_run: false,
             claim: None,
--- a/components/decisions/src/host/crashes.rs
+++ b/components/decisions/src/host/crashes.rs
@@ -205,8 +205,8 @@
         parts: &[u64],
         effects: &mut Vec<HostEffect>,
     ) {
-        // An upstream that leaves may end its process without a crash.
-        if !self.members.upstream_accepts(&self.catalog, upstream) {
+        // An upstream that leaves may end its process without a crash, and a cut breaks exchanges too.
+        if !self.members.upstream_accepts(&self.catalog, upstream) || self.is_cut_off(upstream) {
             return;
         }
         let is_new = !self.crashes.broken_starts.contains_key(upstream);
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -142,6 +142,7 @@
             };
             let excluded =
                 matches!(target, RequestTarget::Asset(asset) if self.is_excluded(now, asset, *key));
+            let excluded = excluded || !self.zone_admits(now, *key);
             if excluded || !self.members.upstream_accepts(&self.catalog, *key) {
                 continue;
             }
@@ -215,6 +216,7 @@
         let request = &mut self.requests[key];
         request.stage = RequestStage::Dispatched(upstream);
         request.attempts += 1;
+        request.dispatched = now;
         request.first_part = None;
         let (ticket, attempt, target) = (request.ticket, request.attempts, request.target);
         let rank = request.rank;
@@ -224,6 +226,7 @@
         }
         self.tracker.record_dispatch(upstream);
         self.limits.record_dispatch(now, upstream);
+        self.reach_dispatched(upstream);
         *self.running.entry(target).or_default() += 1;
         let subject = self.target_name(target);
         let asset = match target {
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -58,6 +58,7 @@
 use super::peer_leaders::PeerLeader;
 use super::peer_sync::PeerSync;
 use super::quarantine::HostQuarantine;
+use super::reachability::HostReach;
 use super::software::HostSoftware;
 use super::usage::UsageCounts;
 
@@ -109,6 +110,7 @@
     pub(super) quarantine: HostQuarantine,
     pub(super) software: HostSoftware,
     pub(super) origins: StreamOrigins,
+    pub(super) reach: HostReach,
     /// All open requests, settled ones included.
     pub(super) requests: SlotMap<RequestKey, RequestRecord>,
     /// Keys of the open requests by the ticket that the frontend gave them.
@@ -205,6 +207,7 @@
             quarantine: HostQuarantine::default(),
             software: HostSoftware::default(),
             origins: StreamOrigins::default(),
+            reach: HostReach::default(),
             requests: SlotMap::with_key(),
             tickets: HashMap::new(),
             queue: WaitingQueue::default(),
@@ -271,7 +274,7 @@
             HostEvent::RequestArrived(request) => self.accept_request(now, request, effects),
             HostEvent::CallerDisconnected(ticket) => self.caller_disconnected(now, ticket, effects),
             HostEvent::AttemptStarted(request, attempt) => {
-                self.attempt_started(request, attempt, effects);
+                self.attempt_started(now, request, attempt, effects);
             }
             HostEvent::AttemptAdvanced(request, attempt) => {
                 self.attempt_advanced(now, request, attempt, effects);
@@ -279,6 +282,7 @@
             HostEvent::AttemptEnded(request, attempt, outcome) => {
                 self.attempt_ended(now, request, attempt, outcome, effects);
             }
+            HostEvent::StreamsObserved(streams) => self.streams_observed(now, streams, effects),
             HostEvent::Peer(envelope) => self.handle_peer_message(now, *envelope, effects),
             HostEvent::StoreOutcome(id, outcome) => {
                 self.handle_store_outcome(now, id, outcome, effects);
@@ -291,6 +295,7 @@
             }
             HostEvent::LoadReport(upstream, load) => {
                 self.tracker.record_load(now, upstream, load.running + load.waiting);
+                self.reach_answered(now, upstream, now, effects);
             }
             HostEvent::LimitStatement(upstream, dispatched, notice) => {
                 self.limit_observed(now, upstream, dispatched, notice, effects);
@@ -301,6 +306,7 @@
             }
             HostEvent::UpstreamChecked(upstream, reach) => {
                 self.upstream_checked(now, upstream, reach, effects);
+                self.reach_checked(now, upstream, reach, effects);
             }
             HostEvent::Quarantine(version, value) => {
                 self.apply_record(now, version, &value, effects);
@@ -358,6 +364,7 @@
         if now.since(self.last_event) >= FREEZE_THRESHOLD {
             self.resumed_at = now;
             self.limits.permits.expire_all();
+            self.reach_restart(now);
             self.dispatch_not_before = now.after(HOST_LIST_WAIT_AFTER_FREEZE);
         }
         self.last_event = now;
@@ -389,6 +396,7 @@
         self.quarantine_tick(now, effects);
         self.origins_tick(now, effects);
         self.software_tick(now, effects);
+        self.reach_tick(now, effects);
         self.dispatch_all_waiting(now, effects);
         self.send_notices(now, effects);
         if now >= self.next_sweep {
@@ -652,24 +660,6 @@
         &self.configuration_origin
     }
 
-    fn log_rejected_offer(
-        &self,
-        from: &HostIdentity,
-        base: u64,
-        revision: u64,
-        effects: &mut Vec<HostEffect>,
-    ) {
-        effects.push(HostEffect::LogDecision(DecisionRecord {
-            kind: DecisionKind::Offer,
-            ticket: None,
-            subject: "configuration".to_owned(),
-            choice: format!("revision {}", self.catalog.revision),
-            reason: "the offered changes do not fit the revision in force",
-            alternatives: 0,
-            inputs: format!("offered={revision} base={base} from={}", from.name),
-        }));
-    }
-
     /// Records that a configuration came into force, which `source` sent: a host, or the key-value
     /// service.
     fn configuration_changed(&mut self, now: Moment, source: &str, effects: &mut Vec<HostEffect>) {
--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`admission`]: open requests and the queue of waiting requests.
 //! - [`routing`]: replicas of all scopes; load and health of upstreams.
 //! - [`quarantine`]: prompt parts that crash upstreams.
+//! - [`reachability`]: zones and upstreams that cannot be reached.
 //! - [`software`]: software versions of upstreams, and which one began a stream.
 //! - [`limits`]: limits that upstreams set on the requests of all hosts together.
 //! - [`retry`]: retry budget of a host.
@@ -39,6 +40,7 @@
 pub mod order;
 pub mod placement;
 pub mod quarantine;
+pub mod reachability;
 pub mod registry;
 pub mod request;
 pub mod retry;
--- /dev/null
+++ b/components/decisions/src/reachability/mod.rs
@@ -0,0 +1,32 @@
+//! Availability zones and upstreams that cannot be reached, as far as this host can tell.
+//!
+//! - [`ZoneWatch`]: what this host observes itself, zone by zone.
+
+mod zone;
+mod zones;
+
+pub use zone::ZoneChange;
+pub use zones::AwaitedAnswer;
+pub use zones::ZoneWatch;
+
+use std::time::Duration;
+
+/// Time without any event from a zone after which a wait for one of its upstreams counts as a hang. A
+/// connection takes under 5 ms, and a hang only causes checks, so slow upstreams cost nothing but
+/// those.
+pub const HANG_TIME: Duration = Duration::from_millis(200);
+/// Silence after which an attempt at an upstream of an unreachable zone is ended. Longer than opening a
+/// connection may take (300 ms), so that it is known whether a byte of the request was sent.
+pub const END_SILENCE: Duration = Duration::from_millis(350);
+
+/// Whether failures are judged by zone and shared with other hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum SharedFailures {
+    /// For the services whose upstreams state their pace.
+    #[default]
+    Auto,
+    /// For all services.
+    On,
+    /// For none.
+    Off,
+}
--- a/components/decisions/src/routing/tracker.rs
+++ b/components/decisions/src/routing/tracker.rs
@@ -211,6 +211,14 @@
         true
     }
 
+    /// Ends the ejection of an upstream: it gets one request at a time until it answers.
+    pub fn end_ejection(&mut self, now: Moment, key: UpstreamKey) {
+        if let Some(status) = self.statuses.get_mut(key) {
+            status.blocked_until = status.blocked_until.min(now);
+            status.failures = status.failures.min(EJECT_FAILURES);
+        }
+    }
+
     /// Records a load report: `load` counts the requests running and queued.
     pub fn record_load(&mut self, now: Moment, key: UpstreamKey, load: u32) {
         if let Some(status) = self.status(key) {
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::reachability::SharedFailures;
 use crate::retry::RetryRules;
 
 /// Timeouts and intervals of one deployment; all hosts must use the same values.
@@ -49,6 +50,8 @@
     pub refusal_lead: Duration,
     /// Limits on the retries of all hosts together.
     pub retries: RetryRules,
+    /// Whether failures are judged by zone and shared with other hosts.
+    pub shared_failures: SharedFailures,
 }
 
 impl Default for TimingRules {
@@ -73,6 +76,7 @@
             change_bound: None,
             refusal_lead: Duration::from_millis(40),
             retries: RetryRules::default(),
+            shared_failures: SharedFailures::default(),
         }
     }
 }
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -1,17 +1,23 @@
 //! Open calls of callers.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures::future::AbortHandle;
 use hyper::HeaderMap;
 use tokio::sync::oneshot;
+use wagtailledge_decisions::request::RequestKey;
 use wagtailledge_decisions::request::RequestTicket;
 use wagtailledge_frontend::CallerCall;
 use wagtailledge_frontend::CallerReply;
 use wagtailledge_frontend::PartSender;
 use wagtailledge_frontend::PartStream;
+use wagtailledge_inventory::UpstreamKey;
+use wagtailledge_upstreams::ExchangeStop;
+
+use crate::streams::StreamProgress;
 
 /// A stream that an upstream has started and the reducer has not yet allowed to be forwarded.
 #[derive(Debug)]
@@ -29,8 +35,16 @@
 pub struct LiveAttempt {
     /// Number of the attempt within its request.
     pub number: u32,
+    /// Key of the request in the reducer.
+    pub request: RequestKey,
+    /// Upstream that the request was sent to.
+    pub upstream: UpstreamKey,
     /// Aborts the exchange, which closes its connection.
     pub abort: AbortHandle,
+    /// Ends the exchange as if its upstream had failed.
+    pub stop: ExchangeStop,
+    /// What was seen of the answer.
+    pub progress: Rc<StreamProgress>,
 }
 
 /// Which retries the call allows, and what kind of answer it expects.
@@ -103,6 +117,11 @@
         self.calls.get_mut(&ticket)
     }
 
+    /// Latest attempts of all calls.
+    pub fn attempts(&self) -> impl Iterator<Item = &LiveAttempt> {
+        self.calls.values().filter_map(|live| live.attempt.as_ref())
+    }
+
     /// Request id of the call with this ticket; empty once it was removed.
     pub fn request_id(&self, ticket: RequestTicket) -> &str {
         self.calls.get(&ticket).map_or("", |live| &live.call.request_id)
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -21,6 +21,7 @@
 use wagtailledge_frontend::part_channel;
 use wagtailledge_inventory::UpstreamKey;
 use wagtailledge_upstreams::CallEvent;
+use wagtailledge_upstreams::ExchangeStop;
 use wagtailledge_upstreams::UpstreamCall;
 
 use crate::calls::LiveAttempt;
@@ -28,6 +29,7 @@
 use crate::log_records::AttemptTimes;
 use crate::log_records::log_attempt;
 use crate::shell::EntryShell;
+use crate::streams::StreamProgress;
 
 /// Parts of a stream buffered for a slow caller before reading from its upstream stops.
 const MAX_BUFFERED_PARTS: usize = 8;
@@ -68,8 +70,16 @@
             return;
         };
         let (abort, registration) = AbortHandle::new_pair();
+        let progress = Rc::new(StreamProgress::default());
         if let Some(live) = self.calls.borrow_mut().get_mut(plan.ticket) {
-            live.attempt = Some(LiveAttempt { number, abort });
+            live.attempt = Some(LiveAttempt {
+                number,
+                request,
+                upstream: key,
+                abort,
+                stop: call.stop.clone(),
+                progress: Rc::clone(&progress),
+            });
         }
         self.recently_used.borrow_mut().insert(plan.upstream, Instant::now());
         let shell = Rc::clone(self);
@@ -78,10 +88,12 @@
         let (request_id, upstream) = (call.request_id.clone(), call.upstream.clone());
         actix_rt::spawn(async move {
             let ticket = plan.ticket;
-            let exchange = Rc::clone(&shell).exchange(call, plan, Rc::clone(&times));
+            let exchange =
+                Rc::clone(&shell).exchange(call, plan, Rc::clone(&times), Rc::clone(&progress));
             // Aborting closes the connection, but the upstream may have run the request.
             let outcome =
                 Abortable::new(exchange, registration).await.unwrap_or(AttemptOutcome::Broken);
+            progress.record_end();
             if outcome == AttemptOutcome::Streamed {
                 let mut calls = shell.calls.borrow_mut();
                 let sender = calls.get_mut(ticket).and_then(|live| live.sender.take());
@@ -146,6 +158,7 @@
             reuse_within,
             max_wait,
             max_buffered_bytes: self.parts.max_answer_bytes,
+            stop: ExchangeStop::default(),
         })
     }
 
@@ -154,6 +167,7 @@
         call: UpstreamCall,
         plan: DispatchPlan,
         times: Rc<RefCell<AttemptTimes>>,
+        progress: Rc<StreamProgress>,
     ) -> AttemptOutcome {
         let upstreams = Rc::clone(&self.parts.upstreams);
         let shell = Rc::clone(&self);
@@ -168,6 +182,7 @@
                     futures::future::ready(true).boxed_local()
                 }
                 CallEvent::Started(head) => {
+                    progress.record_read(shell.now());
                     shell.begin_stream(plan.ticket, head.status, head.headers);
                     shell.submit(HostEvent::AttemptStarted(plan.request, plan.attempt));
                     // If the reducer did not forward the stream, no caller waits for it.
@@ -190,11 +205,15 @@
                     };
                     live.last_event = last.or(live.last_event);
                     let sender = live.sender.clone();
+                    progress.record_held_back(shell.now());
+                    let (shell, progress) = (Rc::clone(&shell), Rc::clone(&progress));
                     async move {
-                        match sender {
+                        let is_sent = match sender {
                             Some(sender) => sender.send(part).await,
                             None => false,
-                        }
+                        };
+                        progress.record_read(shell.now());
+                        is_sent
                     }
                     .boxed_local()
                 }
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -45,6 +45,10 @@
                 self.reply(ticket, CallerReply::Refusal(refusal));
             }
             HostEffect::Cancel(ticket, attempt) => self.cancel_attempt(ticket, attempt),
+            HostEffect::EndAttempt(ticket, attempt) => {
+                self.parts.metrics.count("attempt.cut_off");
+                self.end_attempt(ticket, attempt);
+            }
             HostEffect::CheckUpstream(upstream) => self.check_upstream(upstream),
             HostEffect::Send(to, message) => self.send_message(&[to], *message),
             HostEffect::Broadcast(receivers, message) => self.send_message(&receivers, *message),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,9 +11,11 @@
 mod gate;
 mod log_records;
 pub mod metrics;
+mod rules;
 pub mod run;
 mod scrape;
 pub mod shell;
+mod streams;
 
 pub use adapters::EventSource;
 pub use adapters::HostAdapters;
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 24] = [
+pub const METRIC_NAMES: [&str; 26] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -32,6 +32,8 @@
     "request.open",
     "answer.truncated",
     "answer.broken_at_start",
+    "attempt.cut_off",
+    "zone.unreachable",
     "order.not_sent",
     "store.failed",
     "peer.messages",
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -16,7 +16,6 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::HostIdentity;
 use wagtailledge_decisions::TimingRules;
-use wagtailledge_decisions::retry::RetryRules;
 use wagtailledge_frontend::CallerGate;
 use wagtailledge_frontend::CompletionServer;
 use wagtailledge_frontend::RelayServer;
@@ -37,8 +36,11 @@
 use crate::adapters::HostFrontend;
 use crate::gate::ShellGate;
 use crate::metrics::HostMetrics;
+use crate::rules::retry_rules;
+use crate::rules::shared_failures;
 use crate::shell::EntryShell;
 use crate::shell::ShellParts;
+use crate::streams::stream_loop;
 
 /// Time between two ticks of the reducer.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -154,9 +156,8 @@
             *rule = span.0;
         }
     }
-    if let Some(span) = section.configuration_read {
-        rules.configuration_read = Some(span.0);
-    }
+    let read = section.configuration_read.map(|span| span.0);
+    rules.configuration_read = read.or(rules.configuration_read);
     rules
 }
 
@@ -172,6 +173,7 @@
     ) -> Result<Self, StartError> {
         let mut timing = timing_rules(&settings.timing);
         timing.retries = retry_rules(settings);
+        timing.shared_failures = shared_failures(settings);
         if settings.platform.protocol == PlatformProtocol::Store {
             // The store announces each configuration, so none is polled.
             timing.configuration_read = None;
@@ -192,8 +194,8 @@
             capacity: (settings.host.cores * 1_000.0) as u32,
         };
         let HostAdapters { store, upstreams, orders, sources, frontend } = adapters;
-        let metrics = HostMetrics::new(settings.metrics.statsd).map_err(StartError::Metrics)?;
-        let metrics = Rc::new(metrics);
+        let metrics = HostMetrics::new(settings.metrics.statsd);
+        let metrics = Rc::new(metrics.map_err(StartError::Metrics)?);
         let metrics_address = start_metrics(settings, &metrics)?;
         let parts = ShellParts {
             store,
@@ -312,14 +314,6 @@
     }
 }
 
-fn retry_rules(settings: &HostSettings) -> RetryRules {
-    RetryRules {
-        ratio: settings.retries.ratio,
-        allowance: settings.retries.allowance,
-        window: settings.retries.window.0,
-    }
-}
-
 fn start_metrics(
     settings: &HostSettings,
     metrics: &Rc<HostMetrics>,
@@ -369,6 +363,7 @@
 ) {
     shell.spawn_vital("ticks", tick_loop(Rc::clone(shell)));
     shell.spawn_vital("messages of hosts", inbox_loop(Rc::clone(shell), inbox));
+    shell.spawn_vital("streams", stream_loop(Rc::clone(shell)));
     shell.spawn_vital("sweeps", sweep_loop(Rc::clone(shell), Rc::clone(frontend)));
     for source in sources {
         shell.spawn_vital("events of the platform", source.run(Rc::clone(shell)));
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -32,6 +32,7 @@
 use crate::calls::CallTable;
 use crate::gate::host_ends;
 use crate::metrics::HostMetrics;
+use crate::streams::StreamWatch;
 
 /// Load is polled only from upstreams to which this host sent a request within this time.
 const LOAD_POLL_WINDOW: Duration = Duration::from_secs(5);
@@ -67,6 +68,7 @@
     pub(crate) calls: RefCell<CallTable>,
     /// Time of the latest dispatch to each upstream, kept for [`LOAD_POLL_WINDOW`].
     pub(crate) recently_used: RefCell<HashMap<UpstreamKey, Instant>>,
+    pub(crate) stream_watch: StreamWatch,
     event_queue: RefCell<VecDeque<HostEvent>>,
     /// Set while a call of [`Self::submit`] further up the stack is processing the event queue.
     is_reducing: Cell<bool>,
@@ -102,6 +104,7 @@
             reducer: RefCell::new(reducer),
             calls: RefCell::default(),
             recently_used: RefCell::default(),
+            stream_watch: StreamWatch::default(),
             event_queue: RefCell::default(),
             is_reducing: Cell::new(false),
             has_failed: Cell::new(false),
@@ -235,6 +238,8 @@
         metrics.gauge("request.open", status.requests as u64);
         metrics.gauge("configuration.revision", status.revision);
         metrics.gauge("ledger.unrecorded", status.unrecorded as u64);
+        let unreachable = self.read(HostReducer::unreachable_zones);
+        metrics.gauge("zone.unreachable", unreachable as u64);
         metrics.gauge("peer.messages", messages);
         metrics.gauge("peer.bytes", bytes);
     }
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -11,6 +11,8 @@
 use wagtailledge_inventory::TimeSpan;
 use wagtailledge_inventory::parse::parse_sections;
 
+use crate::switch::FeatureSwitch;
+
 /// Shortest accepted shared secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -129,6 +131,14 @@
     pub stream_pause: TimeSpan,
 }
 
+/// `[routing]`: how upstreams are chosen for requests.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSection {
+    /// Whether failures of upstreams are judged by zone and shared with other hosts.
+    pub shared_failures: FeatureSwitch,
+}
+
 /// `[drain]`: timing of an orderly shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -195,6 +205,8 @@
     pub drain: DrainSection,
     /// `[retries]`: budget of retries per service.
     pub retries: RetrySection,
+    /// `[routing]`: how upstreams are chosen.
+    pub routing: RoutingSection,
     /// `[scopes]`: placement scope by availability zone. An unlisted zone is its own scope.
     pub scopes: BTreeMap<String, String>,
     /// `[metrics]`: where metrics are sent.
@@ -219,6 +231,7 @@
             ("[platform]", self.platform == other.platform),
             ("[security]", self.security == other.security),
             ("[limits]", self.limits == other.limits),
+            ("[routing]", self.routing == other.routing),
             ("[scopes]", self.scopes == other.scopes),
             ("[metrics]", self.metrics == other.metrics),
             ("[timing]", self.timing == other.timing),
@@ -297,6 +310,7 @@
         let limits = reader.optional_section(root, "limits").unwrap_or_default();
         let drain = reader.optional_section(root, "drain").unwrap_or_default();
         let retries = reader.optional_section(root, "retries").unwrap_or_default();
+        let routing = reader.optional_section(root, "routing").unwrap_or_default();
         let scopes = reader.optional_section(root, "scopes").unwrap_or_default();
         let metrics = reader.optional_section(root, "metrics").unwrap_or_default();
         let timing = reader.optional_section(root, "timing").unwrap_or_default();
@@ -308,6 +322,7 @@
             limits,
             drain,
             retries,
+            routing,
             scopes,
             metrics,
             timing,
--- a/components/upstreams/src/call.rs
+++ b/components/upstreams/src/call.rs
@@ -14,6 +14,7 @@
 use wagtailledge_decisions::event::UpstreamStatement;
 
 use crate::framing::BodyEnd;
+use crate::stop::ExchangeStop;
 
 /// Request to an upstream, and how to send it.
 #[derive(Debug, Clone)]
@@ -52,6 +53,8 @@
     pub max_wait: Duration,
     /// Maximum size of a buffered answer, in bytes. Longer successful answers are streamed.
     pub max_buffered_bytes: usize,
+    /// Ends the exchange from outside.
+    pub stop: ExchangeStop,
 }
 
 /// Head of an answer that is streamed.
--- a/components/upstreams/src/exchange.rs
+++ b/components/upstreams/src/exchange.rs
@@ -84,8 +84,11 @@
                 return AttemptOutcome::NotRun { misplaced: false };
             }
         };
-        let sent =
-            timeout(call.max_wait, self.pool.send(call.address, request, call.reuse_within)).await;
+        let sending = self.pool.send(call.address, request, call.reuse_within);
+        let sent = tokio::select! {
+            sent = timeout(call.max_wait, sending) => sent,
+            () = call.stop.requested() => return AttemptOutcome::Broken,
+        };
         let mut answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(ExchangeFault::NotSent(problem))) => {
@@ -275,7 +278,11 @@
     call: &UpstreamCall,
 ) -> Result<Option<Bytes>, EndCause> {
     loop {
-        match timeout(call.max_wait, answer.body.frame()).await {
+        let frame = tokio::select! {
+            frame = timeout(call.max_wait, answer.body.frame()) => frame,
+            () = call.stop.requested() => return Err(EndCause::TimedOut),
+        };
+        match frame {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(part) => return Ok(Some(part)),
                 Err(_trailers) => {}
--- a/components/upstreams/src/lib.rs
+++ b/components/upstreams/src/lib.rs
@@ -14,6 +14,7 @@
 mod openai;
 mod order;
 mod pool;
+mod stop;
 mod stream;
 
 pub use budget::AnswerBudget;
@@ -46,4 +47,5 @@
 pub use pool::ConnectionPool;
 pub use pool::ExchangeFault;
 pub use pool::OpenAnswer;
+pub use stop::ExchangeStop;
 pub use stream::WritePermit;
