Share failures of upstreams between the hosts of a scope

Cause: a host with few requests meets each failed engine anew, although others have found it failed already.

Change: hosts report failures of upstreams' processes to their leader (new field failures of demand notices). The leader publishes those that three hosts, or hosts of two zones, report within 2 s (new field outages of its notices, three seconds at most). A host avoids them unless it has a newer answer of its own, and checks them every 300 ms. A host that cannot reach most zones reports nothing and ignores reports about its own zone.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -163,6 +163,7 @@
         leaving: Vec::new(),
         draining: false,
         crash_report: CrashReport::default(),
+        failures: Vec::new(),
     })
 }
 
@@ -284,6 +285,7 @@
         hosts: 0,
         lease: None,
         store: StoreView::default(),
+        outages: Vec::new(),
     };
     follower.receive(identity(0, 0), PeerMessage::Leader(notice.clone()));
     follower.run(Duration::from_secs(2));
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -142,7 +142,7 @@
             };
             let excluded =
                 matches!(target, RequestTarget::Asset(asset) if self.is_excluded(now, asset, *key));
-            let excluded = excluded || !self.zone_admits(now, *key);
+            let excluded = excluded || !self.may_be_reached(now, *key);
             if excluded || !self.members.upstream_accepts(&self.catalog, *key) {
                 continue;
             }
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -9,6 +9,7 @@
 mod names;
 mod offers;
 mod origins;
+mod outages;
 mod peer_leaders;
 mod peer_sync;
 mod permits;
--- a/components/decisions/src/host/reachability.rs
+++ b/components/decisions/src/host/reachability.rs
@@ -17,6 +17,10 @@
 use crate::event::UpstreamReach;
 use crate::reachability::AwaitedAnswer;
 use crate::reachability::END_SILENCE;
+use crate::reachability::FailureLog;
+use crate::reachability::OutageBook;
+use crate::reachability::REPORT_TIME;
+use crate::reachability::ReportedOutages;
 use crate::reachability::SharedFailures;
 use crate::reachability::ZoneChange;
 use crate::reachability::ZoneWatch;
@@ -34,6 +38,10 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct HostReach {
     pub(super) zones: ZoneWatch,
+    pub(super) failures: FailureLog,
+    /// If this host leads: reports of the scope's hosts.
+    pub(super) book: OutageBook,
+    pub(super) reported: ReportedOutages,
     /// When requests in flight are examined next.
     next_examination: Moment,
     /// When the runtime last reported silent streams.
@@ -43,6 +51,11 @@
 }
 
 impl HostReach {
+    /// Examines the requests in flight with the next tick.
+    pub(super) fn examine_at_once(&mut self, now: Moment) {
+        self.next_examination = now;
+    }
+
     /// Since when the answer of the latest attempt of a request has been silent, as far as known.
     fn silent_since(
         &self,
@@ -78,17 +91,18 @@
     }
 
     /// Zone of an upstream, if its failures are judged by zone.
-    fn watched_zone(&self, upstream: UpstreamKey) -> Option<String> {
+    pub(super) fn watched_zone(&self, upstream: UpstreamKey) -> Option<String> {
         let record = self.catalog.upstreams.get(upstream)?;
         self.shares_failures(record.service).then(|| record.zone.clone())
     }
 
-    /// Whether the zone of an upstream may get another request.
-    pub(super) fn zone_admits(&self, now: Moment, upstream: UpstreamKey) -> bool {
+    /// Whether an upstream may get another request as far as it can be reached.
+    pub(super) fn may_be_reached(&self, now: Moment, upstream: UpstreamKey) -> bool {
         let Some(record) = self.catalog.upstreams.get(upstream) else {
             return true;
         };
-        !self.shares_failures(record.service) || self.reach.zones.admits(now, &record.zone)
+        !self.shares_failures(record.service)
+            || (self.reach.zones.admits(now, &record.zone) && !self.is_reported(now, upstream))
     }
 
     /// Whether the zone of an upstream cannot be reached.
@@ -113,6 +127,8 @@
         effects: &mut Vec<HostEffect>,
     ) {
         if let Some(zone) = self.watched_zone(upstream) {
+            self.reach.failures.record_answer(upstream, at);
+            self.reach.reported.record_answer(now, upstream, at);
             let change = self.reach.zones.record_answer(now, &zone, at);
             self.zone_changed(now, &zone, change, effects);
         }
@@ -137,14 +153,18 @@
             AttemptOutcome::Streamed
             | AttemptOutcome::Answered(_)
             | AttemptOutcome::NotRun { .. } => self.reach_answered(now, upstream, now, effects),
-            // This host ended the attempt itself.
-            AttemptOutcome::Broken | AttemptOutcome::Truncated if request.settled || was_ended => {}
+            // This host ended the attempt itself, so it shows nothing new about the zone.
+            AttemptOutcome::Broken | AttemptOutcome::Truncated if was_ended => {
+                self.reach.failures.record_failure(now, upstream);
+            }
+            AttemptOutcome::Broken | AttemptOutcome::Truncated if request.settled => {}
             AttemptOutcome::Unreached | AttemptOutcome::Broken | AttemptOutcome::Truncated => {
                 // An upstream that leaves may end its process at any time.
                 if self.members.upstream_accepts(&self.catalog, upstream) {
                     let change = self.reach.zones.record_failure(now, &zone, upstream, began);
                     self.zone_changed(now, &zone, change, effects);
-                    self.reach.next_examination = now;
+                    self.reach.failures.record_failure(now, upstream);
+                    self.reach.examine_at_once(now);
                 }
             }
         }
@@ -158,10 +178,17 @@
         reach: UpstreamReach,
         effects: &mut Vec<HostEffect>,
     ) {
-        if let Some(zone) = self.watched_zone(upstream) {
-            let change = self.reach.zones.record_check(now, &zone, upstream, reach);
-            self.zone_changed(now, &zone, change, effects);
+        let Some(zone) = self.watched_zone(upstream) else {
+            return;
+        };
+        if reach == UpstreamReach::Listening {
+            self.reach.failures.record_answer(upstream, now);
+            self.reach.reported.record_answer(now, upstream, now);
+        } else if self.members.upstream_accepts(&self.catalog, upstream) {
+            self.reach.failures.record_failure(now, upstream);
         }
+        let change = self.reach.zones.record_check(now, &zone, upstream, reach);
+        self.zone_changed(now, &zone, change, effects);
     }
 
     /// Records which streams are silent, and from which upstreams something came lately.
@@ -183,6 +210,8 @@
     pub(super) fn reach_restart(&mut self, now: Moment) {
         self.reach.zones.restart(now);
         self.reach.silent.clear();
+        self.reach.failures.clear();
+        self.reach.reported.clear();
     }
 
     /// Examines the requests in flight, checks suspected zones and ends attempts in unreachable ones.
@@ -207,6 +236,13 @@
         };
         let checks = self.reach.zones.start_checks(now, &suspected, upstreams_of, &mut self.rng);
         effects.extend(checks.into_iter().map(HostEffect::CheckUpstream));
+        let HostReach { zones, reported, .. } = &mut self.reach;
+        reported.remove_before(now.before(REPORT_TIME * 2));
+        for (upstream, zone) in reported.start_checks(now, |zone| !zones.is_unreachable(zone)) {
+            zones.record_check_started(now, &zone, upstream);
+            effects.push(HostEffect::CheckUpstream(upstream));
+        }
+        self.lead_outages(now, effects);
         self.end_silent_attempts(now, effects);
     }
 
@@ -281,11 +317,12 @@
                 for (upstream, _) in in_zone {
                     self.tracker.end_ejection(now, upstream);
                 }
+                self.reach.reported.record_zone_back(now, zone);
                 let inputs = format!("lasted_ms={}", lasted.as_millis());
                 ("zone back", "one of its upstreams answered", inputs)
             }
         };
-        self.reach.next_examination = now;
+        self.reach.examine_at_once(now);
         effects.push(HostEffect::LogDecision(DecisionRecord {
             kind: DecisionKind::Health,
             ticket: None,
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -20,7 +20,6 @@
 use crate::routing::TableRange;
 use crate::routing::UpdateOutcome;
 use crate::time::Moment;
-use crate::timing::TimingRules;
 
 use super::peer_sync::PeerSync;
 use super::peer_sync::UpdateBase;
@@ -90,7 +89,7 @@
             let is_behind = sync.replicas.is_behind(now, table, version);
             // All hosts must soon learn of upstreams that are shutting down or were removed.
             let lacks_entries = sync.registry.is_behind(now, directory.id(), directory.version());
-            if !is_notice_due(now, &self.timing, sync, is_behind, lacks_entries) {
+            if !sync.is_notice_due(now, &self.timing, is_behind, lacks_entries) {
                 continue;
             }
             let replicas = sync.replicas.next_base(now, table);
@@ -150,6 +149,7 @@
                 revision: self.registered_upstreams.revision(),
                 is_lost: self.is_store_lost,
             },
+            outages: self.outage_rows(now),
         }
     }
 
@@ -175,14 +175,11 @@
         let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
         let gap_due = self.leader_sync.has_gap
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
-        let crashes_due =
-            self.crashes.is_report_due(now) && now.since(self.leader_sync.sent_at) >= pause;
-        if !usage_due
-            && !gap_due
-            && !crashes_due
-            && !limits_due
-            && !self.leader_sync.is_due(now, pause, heartbeat * IDLE_HEARTBEATS, false)
-        {
+        let waited = now.since(self.leader_sync.sent_at);
+        let crashes_due = self.crashes.is_report_due(now) && waited >= pause;
+        let failures_due = self.is_failure_report_due(now, waited);
+        let is_due = self.leader_sync.is_due(now, pause, heartbeat * IDLE_HEARTBEATS, false);
+        if !(usage_due || gap_due || crashes_due || limits_due || failures_due || is_due) {
             return;
         }
         self.leader_sync.dirty = false;
@@ -192,6 +189,7 @@
         let suspects = std::mem::take(&mut self.suspects);
         let limits = self.limit_report(now);
         let crash_report = self.crash_report(now);
+        let failures = self.failure_rows(now);
         let name_of = |key| self.catalog.upstreams.get(key).map(|record| record.name.clone());
         let leaving = self.members.leaving_unlisted(&self.catalog);
         let notice = DemandNotice {
@@ -206,6 +204,7 @@
             crash_report,
             leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
             draining: self.is_draining(),
+            failures,
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
     }
@@ -257,6 +256,7 @@
         self.apply_update(now, &scope, TableRange::AllScopes, &notice.update, effects);
         self.apply_limit_table(now, &from, &notice.limits, effects);
         self.apply_quarantine_table(now, &from, &notice.quarantine, effects);
+        self.apply_outages(now, &notice.outages, effects);
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
@@ -391,23 +391,7 @@
         });
         self.handle_limit_report(now, &from, &notice.limits, effects);
         self.handle_crash_report(now, &from, &notice.crash_report, effects);
+        self.handle_failures(now, &from, &notice.failures);
         self.plan(now, effects);
     }
 }
-
-/// Whether a message to a host of the leader's scope is due. `is_behind` and `lacks_entries` are set
-/// if there are unsent changes of replicas and of registered upstreams.
-fn is_notice_due(
-    now: Moment,
-    timing: &TimingRules,
-    sync: &PeerSync,
-    is_behind: bool,
-    lacks_entries: bool,
-) -> bool {
-    let waited = now.since(sync.sent_at);
-    let is_urgent = sync.dirty || lacks_entries;
-    sync.sent_at == Moment::default()
-        || waited >= timing.heartbeat
-        || (is_urgent && waited >= timing.notice_pause)
-        || (is_behind && waited >= timing.notice_idle)
-}
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -619,6 +619,7 @@
         self.report_recent_usage(now);
         self.limit_leadership_changed(now, held_epoch.is_some(), effects);
         self.quarantine_leadership_changed(now, held_epoch.is_some());
+        self.reset_outages();
         self.software_leadership_changed(now);
         if let Some(epoch) = held_epoch {
             let last_message = now;
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -15,6 +15,10 @@
 use crate::ledger::LedgerVerdict;
 use crate::limits::LimitPhase;
 use crate::limits::RequestRate;
+pub use crate::quarantine::CrashReport;
+pub use crate::quarantine::CrashRow;
+use crate::reachability::FailureRow;
+use crate::reachability::OutageRow;
 use crate::request::LedgerKey;
 
 /// Version of the message format; a host rejects any other.
@@ -244,44 +248,6 @@
     }
 }
 
-/// Crash of a process, and what it had just begun to work on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRow {
-    /// Name of the upstream.
-    #[serde(rename = "u")]
-    pub upstream: String,
-    /// When the upstream's process started, by its own clock; 0 if that is not known.
-    #[serde(rename = "b")]
-    pub started_ms: u64,
-    /// Time since the crash was seen, in milliseconds.
-    #[serde(rename = "a")]
-    pub age_ms: u64,
-    /// Prompt parts of the requests that it had just begun to work on.
-    #[serde(rename = "p")]
-    pub parts: Vec<u64>,
-}
-
-/// What a host reports about crashes of upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Crashes that the receiver may not know.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashRow>,
-    /// Published suspects that the sender knows to be sound.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
-    pub sound: Vec<u64>,
-    /// Rules that the receiver did not publish.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub rules: Vec<QuarantineRow>,
-}
-
-impl CrashReport {
-    /// Whether there is nothing to report.
-    pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty() && self.rules.is_empty()
-    }
-}
-
 /// Permits for requests to a limited upstream. They expire soon after the report that asked for
 /// them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -334,6 +300,9 @@
     /// What the leader knows of the platform's store; the default from hosts of earlier builds.
     #[serde(rename = "v", default, skip_serializing_if = "StoreView::is_empty")]
     pub store: StoreView,
+    /// Upstreams that several hosts cannot reach.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub outages: Vec<OutageRow>,
 }
 
 /// How far a host follows the platform's store.
@@ -398,6 +367,9 @@
     /// Whether the sender is draining and must not be named as a successor any more.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub draining: bool,
+    /// Upstreams that failed at the sender in the last seconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failures: Vec<FailureRow>,
 }
 
 /// Report of a leader to the leader of another scope.
--- a/components/decisions/src/quarantine/mod.rs
+++ b/components/decisions/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 
 mod crash_log;
 mod judge;
+mod notice;
 mod record;
 mod rules;
 mod sound;
@@ -15,6 +16,8 @@
 pub use crash_log::CrashRecord;
 pub use crash_log::QUARANTINE_TIME;
 pub use judge::CrashJudge;
+pub use notice::CrashReport;
+pub use notice::CrashRow;
 pub use record::QUARANTINE_KEY;
 pub use record::QuarantineRecord;
 pub use rules::QuarantineRule;
--- a/components/decisions/src/reachability/zone.rs
+++ b/components/decisions/src/reachability/zone.rs
@@ -170,6 +170,10 @@
         self.failures.retain(|_, failed_at| *failed_at > at);
     }
 
+    pub(super) fn record_check_started(&mut self, now: Moment, upstream: UpstreamKey) {
+        self.checks.entry(upstream).or_insert(now);
+    }
+
     /// Records the result of a check of an upstream. Returns the change if there is one.
     pub(super) fn record_check(
         &mut self,
--- a/components/decisions/src/reachability/zones.rs
+++ b/components/decisions/src/reachability/zones.rs
@@ -99,6 +99,11 @@
         self.zone(now, zone).record_answer(now, at)
     }
 
+    /// Records that a check of an upstream was started for another reason.
+    pub fn record_check_started(&mut self, now: Moment, zone: &str, upstream: UpstreamKey) {
+        self.zone(now, zone).record_check_started(now, upstream);
+    }
+
     /// Records the result of a check of an upstream.
     pub fn record_check(
         &mut self,
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -464,6 +464,7 @@
         hosts: 2,
         lease: None,
         store: StoreView::default(),
+        outages: Vec::new(),
     }
 }
 
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -112,6 +112,7 @@
         hosts: 0,
         lease,
         store: StoreView::default(),
+        outages: Vec::new(),
     })
 }
 
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -153,6 +153,7 @@
         hosts: 0,
         lease: None,
         store: StoreView::default(),
+        outages: Vec::new(),
     }
 }
 
--- a/components/decisions/tests/quarantine.rs
+++ b/components/decisions/tests/quarantine.rs
@@ -287,6 +287,7 @@
         hosts: 0,
         lease: None,
         store: StoreView::default(),
+        outages: Vec::new(),
     }));
 }
 
@@ -379,6 +380,7 @@
         crash_report,
         leaving: Vec::new(),
         draining: false,
+        failures: Vec::new(),
     };
     leader.submit(HostEvent::Peer(Box::new(PeerEnvelope {
         version: MESSAGE_VERSION,
--- a/components/decisions/tests/store_views.rs
+++ b/components/decisions/tests/store_views.rs
@@ -86,6 +86,7 @@
         hosts: 0,
         lease: None,
         store,
+        outages: Vec::new(),
     })
 }
 
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -148,6 +148,7 @@
             hosts: 0,
             lease: None,
             store: StoreView::default(),
+            outages: Vec::new(),
         };
         host.receive(PeerMessage::Leader(notice));
         host.effects.clear();
@@ -192,6 +193,7 @@
             crash_report: CrashReport::default(),
             leaving: Vec::new(),
             draining: false,
+            failures: Vec::new(),
         };
         self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
             version: MESSAGE_VERSION,
--- a/components/decisions/tests/table_sync.rs
+++ b/components/decisions/tests/table_sync.rs
@@ -65,6 +65,7 @@
         hosts: 0,
         lease: None,
         store: StoreView::default(),
+        outages: Vec::new(),
     })
 }
 
@@ -124,6 +125,7 @@
             leaving: Vec::new(),
             draining: false,
             crash_report: CrashReport::default(),
+            failures: Vec::new(),
         };
         leader.submit(HostEvent::Peer(Box::new(PeerEnvelope {
             version: MESSAGE_VERSION,
