--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -71,6 +71,7 @@
         };
         if request.first_part.is_none() {
             request.first_part = Some(now);
+            self.first_event_arrived(now, key, effects);
             self.bind_begun(now, key, upstream, effects);
             self.reach_answered(now, upstream, now, effects);
         }
@@ -157,6 +158,7 @@
         };
         let target = request.target;
         self.tracker.record_end(upstream);
+        self.work.record_ended(key);
         self.decrement_running(target);
         if let RequestTarget::Asset(asset) = target {
             self.replica_probes.remove(&(asset, upstream));
--- a/components/decisions/src/host/reachability.rs
+++ b/components/decisions/src/host/reachability.rs
@@ -14,6 +14,7 @@
 use crate::effect::HostEffect;
 use crate::event::AttemptOutcome;
 use crate::event::StreamObservation;
+use crate::event::UpstreamLoad;
 use crate::event::UpstreamReach;
 use crate::reachability::AwaitedAnswer;
 use crate::reachability::END_SILENCE;
@@ -42,6 +43,8 @@
     /// If this host leads: reports of the scope's hosts.
     pub(super) book: OutageBook,
     pub(super) reported: ReportedOutages,
+    /// Services with an upstream that has stated its pace.
+    paced_services: BTreeSet<ServiceKey>,
     /// When requests in flight are examined next.
     next_examination: Moment,
     /// When the runtime last reported silent streams.
@@ -76,13 +79,36 @@
 
 impl HostReducer {
     /// Whether failures of the upstreams of a service are judged by zone.
-    fn shares_failures(&self, _service: Option<ServiceKey>) -> bool {
-        self.timing.shared_failures == SharedFailures::On
+    fn shares_failures(&self, service: Option<ServiceKey>) -> bool {
+        match self.timing.shared_failures {
+            SharedFailures::On => true,
+            SharedFailures::Off => false,
+            SharedFailures::Auto => {
+                service.is_some_and(|service| self.reach.paced_services.contains(&service))
+            }
+        }
+    }
+
+    /// Records that an upstream reported its load, perhaps with its pace.
+    pub(super) fn reach_load_reported(
+        &mut self,
+        now: Moment,
+        upstream: UpstreamKey,
+        load: UpstreamLoad,
+        effects: &mut Vec<HostEffect>,
+    ) {
+        let record = self.catalog.upstreams.get(upstream).filter(|_| load.pace.is_some());
+        self.reach.paced_services.extend(record.and_then(|record| record.service));
+        self.reach_answered(now, upstream, now, effects);
     }
 
-    /// Whether failures of any upstream may be judged by zone, so that silent streams are of interest.
+    /// Whether failures of any upstream are judged by zone, so that silent streams are of interest.
     pub fn watches_streams(&self) -> bool {
-        self.timing.shared_failures != SharedFailures::Off
+        match self.timing.shared_failures {
+            SharedFailures::On => true,
+            SharedFailures::Off => false,
+            SharedFailures::Auto => !self.reach.paced_services.is_empty(),
+        }
     }
 
     /// Number of zones that this host cannot reach.
@@ -216,7 +242,7 @@
 
     /// Examines the requests in flight, checks suspected zones and ends attempts in unreachable ones.
     pub(super) fn reach_tick(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
-        if self.timing.shared_failures == SharedFailures::Off {
+        if !self.watches_streams() {
             return;
         }
         for (zone, change) in self.reach.zones.tick(now) {
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -4,6 +4,7 @@
 
 use crate::reachability::SharedFailures;
 use crate::retry::RetryRules;
+use crate::routing::ChoiceBasis;
 
 /// Timeouts and intervals of one deployment; all hosts must use the same values.
 #[derive(Debug, Clone, PartialEq)]
@@ -52,6 +53,8 @@
     pub retries: RetryRules,
     /// Whether failures are judged by zone and shared with other hosts.
     pub shared_failures: SharedFailures,
+    /// What the choice among the upstreams of a request is based on.
+    pub choice: ChoiceBasis,
 }
 
 impl Default for TimingRules {
@@ -77,6 +80,7 @@
             refusal_lead: Duration::from_millis(40),
             retries: RetryRules::default(),
             shared_failures: SharedFailures::default(),
+            choice: ChoiceBasis::default(),
         }
     }
 }
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -131,10 +131,25 @@
     pub stream_pause: TimeSpan,
 }
 
-/// `[routing]`: how upstreams are chosen for requests.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Default)]
+/// What the choice among the upstreams of a request is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingChoice {
+    /// Expected work for a service whose upstreams state their pace, number of requests for others.
+    #[default]
+    Auto,
+    /// Expected work.
+    Work,
+    /// Number of requests.
+    Requests,
+}
+
+/// `[routing]`: choice of the upstream for each request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
 pub struct RoutingSection {
+    /// What the choice is based on.
+    pub choice: RoutingChoice,
     /// Whether failures of upstreams are judged by zone and shared with other hosts.
     pub shared_failures: FeatureSwitch,
 }
@@ -205,7 +220,7 @@
     pub drain: DrainSection,
     /// `[retries]`: budget of retries per service.
     pub retries: RetrySection,
-    /// `[routing]`: how upstreams are chosen.
+    /// `[routing]`: choice of the upstream for each request.
     pub routing: RoutingSection,
     /// `[scopes]`: placement scope by availability zone. An unlisted zone is its own scope.
     pub scopes: BTreeMap<String, String>,
