--- a/components/decisions/src/reachability/zone.rs
+++ b/components/decisions/src/reachability/zone.rs
@@ -15,6 +15,11 @@
 const FAILURE_WINDOW: Duration = Duration::from_millis(750);
 /// Time after which a check without a result counts as failed. A connection takes under 5 ms.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which checks without a result hold back new requests to their zone, until it is known
+/// whether the zone can be reached: ten times that of a connection.
+const HOLD_TIME: Duration = Duration::from_millis(50);
+/// Number of such checks. A single upstream may have failed alone.
+const HOLD_CHECKS: usize = 2;
 /// Upstreams that are checked at once when a zone is suspected: enough to decide on their own.
 const SUSPECT_CHECKS: usize = FAILED_UPSTREAMS;
 /// Least time between two rounds of checks of a suspected zone. Bounds what slow upstreams cost to
@@ -103,8 +108,18 @@
         matches!(self.phase, ZonePhase::Unreachable { .. })
     }
 
+    /// Whether several checks hang and nothing came from the zone since the first of them.
+    fn is_held(&self, now: Moment) -> bool {
+        let hang =
+            |started: &&Moment| now.since(**started) >= HOLD_TIME && **started >= self.heard_at;
+        self.checks.values().filter(hang).count() >= HOLD_CHECKS
+    }
+
     /// Whether another request may be sent to the zone.
     pub(super) fn admits(&self, now: Moment) -> bool {
+        if self.is_held(now) {
+            return false;
+        }
         match self.phase {
             ZonePhase::Reachable => true,
             ZonePhase::Unreachable { .. } => false,
