Check suspected zones with one connection first, and test the reports of hosts

Cause: a zone of slow engines cost three connections each time that none of them had sent anything for 200 ms, and a host without processor time could count late replies to its checks as failures.

Change: after a wait, one upstream is checked, and two more if it does not accept within 50 ms. While ticks come irregularly, only the runtime's results of checks count.

--- a/components/decisions/src/host/outages.rs
+++ b/components/decisions/src/host/outages.rs
@@ -86,7 +86,8 @@
             return;
         }
         let own: Vec<_> = self.reach.failures.current(now).collect();
-        let own = if self.is_cut_off_itself() { Vec::new() } else { own };
+        let counts = own.is_empty() || !self.is_cut_off_itself();
+        let own = if counts { own } else { Vec::new() };
         self.reach.book.replace(now, &self.me.name, &self.me.zone, own.into_iter());
         for outage in self.reach.book.update(now) {
             let record = self.catalog.upstreams.get(outage.upstream);
--- a/components/decisions/src/reachability/zone.rs
+++ b/components/decisions/src/reachability/zone.rs
@@ -20,11 +20,14 @@
 const HOLD_TIME: Duration = Duration::from_millis(50);
 /// Number of such checks. A single upstream may have failed alone.
 const HOLD_CHECKS: usize = 2;
-/// Upstreams that are checked at once when a zone is suspected: enough to decide on their own.
+/// Upstreams that are checked when a zone is suspected: enough to decide on their own. After a wait alone
+/// the first is checked, and the others if it does not reply within `HOLD_TIME`.
 const SUSPECT_CHECKS: usize = FAILED_UPSTREAMS;
 /// Least time between two rounds of checks of a suspected zone. Bounds what slow upstreams cost to
-/// eight connections a second and zone.
+/// three connections a second and zone.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(400);
+/// Time after which a check without a result is forgotten; the runtime reports one within 300 ms.
+const LOST_CHECK_TIME: Duration = Duration::from_secs(1);
 /// Least time between two probes of an unreachable zone. A zone that is back is noticed within this
 /// time and that of one hanging probe, well within a second.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
@@ -87,6 +90,8 @@
     checks: BTreeMap<UpstreamKey, Moment>,
     /// No check is started before this moment.
     next_check: Moment,
+    /// Since when ticks have come regularly.
+    steady_since: Moment,
 }
 
 impl ZoneState {
@@ -97,6 +102,7 @@
             failures: BTreeMap::new(),
             checks: BTreeMap::new(),
             next_check: now,
+            steady_since: now,
         }
     }
 
@@ -110,9 +116,9 @@
 
     /// Whether several checks hang and nothing came from the zone since the first of them.
     fn is_held(&self, now: Moment) -> bool {
-        let hang =
-            |started: &&Moment| now.since(**started) >= HOLD_TIME && **started >= self.heard_at;
-        self.checks.values().filter(hang).count() >= HOLD_CHECKS
+        let since = self.heard_at.max(self.steady_since);
+        let hangs = |started: &&Moment| now.since(**started) >= HOLD_TIME && **started >= since;
+        self.checks.values().filter(hangs).count() >= HOLD_CHECKS
     }
 
     /// Whether another request may be sent to the zone.
@@ -210,10 +216,16 @@
         }
     }
 
-    /// Records the checks that took too long as failed. Checks from before `awake_since` are forgotten.
-    pub(super) fn expire_checks(&mut self, now: Moment, awake_since: Moment) -> Option<ZoneChange> {
-        self.checks.retain(|_, started| *started >= awake_since);
-        let is_late = |started: &Moment| now.since(*started) >= CHECK_TIMEOUT;
+    /// Records the checks that took too long as failed, if ticks came regularly since they started:
+    /// otherwise their results may be unread, and the runtime decides. Forgets lost checks.
+    pub(super) fn expire_checks(
+        &mut self,
+        now: Moment,
+        steady_since: Moment,
+    ) -> Option<ZoneChange> {
+        self.steady_since = steady_since;
+        let is_late =
+            |started: &Moment| now.since(*started) >= CHECK_TIMEOUT && *started >= steady_since;
         let late: Vec<UpstreamKey> = self
             .checks
             .iter()
@@ -225,18 +237,23 @@
             self.checks.remove(&upstream);
             change = change.or(self.record_failure(now, upstream));
         }
+        self.checks.retain(|_, started| now.since(*started) < LOST_CHECK_TIME);
         change
     }
 
     /// Whether checks may be started now; `is_suspected` says whether something of the zone hangs.
     pub(super) fn wants_checks(&self, now: Moment, is_suspected: bool) -> bool {
-        if now < self.next_check {
-            return false;
-        }
-        match self.phase {
-            ZonePhase::Unreachable { .. } => self.checks.is_empty(),
-            _ => is_suspected || self.has_failures(now),
+        if self.is_unreachable() {
+            return now >= self.next_check && self.checks.is_empty();
         }
+        let may_check = now >= self.next_check || self.lacks_checks(now);
+        may_check && (is_suspected || self.has_failures(now))
+    }
+
+    /// Whether a check hangs and others have not been started.
+    fn lacks_checks(&self, now: Moment) -> bool {
+        let hangs = self.checks.values().any(|started| now.since(*started) >= HOLD_TIME);
+        hangs && self.checks.len() < SUSPECT_CHECKS
     }
 
     fn has_failures(&self, now: Moment) -> bool {
@@ -251,8 +268,13 @@
         upstreams: impl Iterator<Item = UpstreamKey>,
     ) -> Vec<UpstreamKey> {
         let is_unreachable = self.is_unreachable();
-        let (count, pause) =
-            if is_unreachable { (1, PROBE_PAUSE) } else { (SUSPECT_CHECKS, SUSPECT_PAUSE) };
+        let (count, pause) = match is_unreachable {
+            true => (1, PROBE_PAUSE),
+            false if self.has_failures(now) || self.lacks_checks(now) => {
+                (SUSPECT_CHECKS.saturating_sub(self.checks.len()), SUSPECT_PAUSE)
+            }
+            false => (1, SUSPECT_PAUSE),
+        };
         let is_new = |upstream: &UpstreamKey| {
             let has_failed = self.failures.contains_key(upstream) && !is_unreachable;
             !has_failed && !self.checks.contains_key(upstream)
--- a/components/decisions/src/reachability/zones.rs
+++ b/components/decisions/src/reachability/zones.rs
@@ -19,6 +19,10 @@
 /// had no processor time, so that answers wait unread. Ticks come every 10 ms.
 const TICK_GAP: Duration = Duration::from_millis(150);
 
+/// Gap between two ticks after which the time limits of checks are left to the runtime, which reads what
+/// has arrived before its own limits.
+const UNSTEADY_GAP: Duration = Duration::from_millis(40);
+
 /// An answer, or the next part of one, that a request waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AwaitedAnswer<'a> {
@@ -39,6 +43,8 @@
     /// Observations that began earlier are ignored, because this process was frozen then.
     awake_since: Moment,
     last_tick: Moment,
+    /// Since when ticks have come regularly.
+    steady_since: Moment,
 }
 
 impl ZoneWatch {
@@ -54,6 +60,7 @@
     pub fn restart(&mut self, now: Moment) {
         self.zones.clear();
         self.awake_since = now;
+        self.steady_since = now;
         self.last_tick = now;
     }
 
@@ -118,13 +125,17 @@
     /// Advances the clock; must be called with each tick. Returns the zones that changed because checks
     /// remained without a result.
     pub fn tick(&mut self, now: Moment) -> Vec<(String, ZoneChange)> {
-        if now.since(self.last_tick) >= TICK_GAP {
+        let gap = now.since(self.last_tick);
+        if gap >= TICK_GAP {
             self.awake_since = now;
         }
+        if gap >= UNSTEADY_GAP {
+            self.steady_since = now;
+        }
         self.last_tick = now;
-        let awake_since = self.awake_since;
+        let steady_since = self.steady_since;
         let expire = |(zone, state): (&String, &mut ZoneState)| {
-            let change = state.expire_checks(now, awake_since)?;
+            let change = state.expire_checks(now, steady_since)?;
             Some((zone.clone(), change))
         };
         self.zones.iter_mut().filter_map(expire).collect()
--- a/components/decisions/tests/reachability.rs
+++ b/components/decisions/tests/reachability.rs
@@ -8,9 +8,18 @@
 use wagtailledge_decisions::HostEffect;
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::discovery::RegistryUpdate;
 use wagtailledge_decisions::event::AttemptOutcome;
 use wagtailledge_decisions::event::StreamObservation;
 use wagtailledge_decisions::event::UpstreamReach;
+use wagtailledge_decisions::message::LeaderNotice;
+use wagtailledge_decisions::message::LimitTable;
+use wagtailledge_decisions::message::PeerMessage;
+use wagtailledge_decisions::message::QuarantineTable;
+use wagtailledge_decisions::message::StoreView;
+use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::reachability::FailureRow;
+use wagtailledge_decisions::reachability::OutageRow;
 use wagtailledge_decisions::reachability::SharedFailures;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::request::RefusalOutcome;
@@ -42,6 +51,23 @@
     host
 }
 
+fn leader_notice() -> LeaderNotice {
+    LeaderNotice {
+        epoch: 1,
+        successors: Vec::new(),
+        revision: 1,
+        update: TableUpdate { table: 1, since: 0, version: 1, rows: Vec::new() },
+        registry: RegistryUpdate::default(),
+        declined: Vec::new(),
+        limits: LimitTable::default(),
+        quarantine: QuarantineTable::default(),
+        hosts: 0,
+        lease: None,
+        store: StoreView::default(),
+        outages: Vec::new(),
+    }
+}
+
 fn zone_of(host: &TestHost, upstream: UpstreamKey) -> String {
     host.reducer.catalog().upstreams[upstream].zone.clone()
 }
@@ -231,3 +257,59 @@
         assert!(!host.effects.iter().any(is_new), "{setting:?}");
     }
 }
+
+/// Row about an upstream as a leader publishes it.
+fn outage(upstream: &str) -> OutageRow {
+    OutageRow { upstream: upstream.to_owned(), started_ms: 0, age_ms: 20, left_ms: 2_980, hosts: 3 }
+}
+
+#[test]
+fn can_avoid_a_reported_upstream_until_a_check_is_accepted() {
+    let mut host = host(SharedFailures::On);
+    host.receive(PeerMessage::Leader(LeaderNotice {
+        outages: vec![outage("v5"), outage("unknown")],
+        ..leader_notice()
+    }));
+    host.advance(40);
+    let reported = host.reducer.catalog().upstream_named("v5").unwrap();
+    for _ in 0..30 {
+        submit(&mut host, RequestRepeat::Idempotent, None);
+    }
+    let is_sent = |effect: &HostEffect| matches!(effect, HostEffect::Dispatch { upstream, .. } if *upstream == reported);
+    assert!(!host.effects.iter().any(is_sent));
+    host.advance(50);
+    let is_check =
+        |effect: &HostEffect| matches!(effect, HostEffect::CheckUpstream(key) if *key == reported);
+    assert!(host.effects.iter().any(is_check), "it gets probes");
+    host.submit(HostEvent::UpstreamChecked(reported, UpstreamReach::Listening));
+    for _ in 0..30 {
+        submit(&mut host, RequestRepeat::Idempotent, None);
+    }
+    assert!(host.effects.iter().any(is_sent));
+}
+
+#[test]
+fn can_report_failures_to_the_leader() {
+    let mut host = host(SharedFailures::On);
+    host.receive(PeerMessage::Leader(leader_notice()));
+    let index = submit_to(&mut host, "west", &RequestRepeat::Idempotent, None);
+    host.end_attempt(index, AttemptOutcome::Unreached);
+    host.advance(20);
+    let failures = |effect: &HostEffect| match effect {
+        HostEffect::Send(_, message) => match message.as_ref() {
+            PeerMessage::Demand(notice) => Some(notice.failures.clone()),
+            _ => None,
+        },
+        _ => None,
+    };
+    let reports: Vec<Vec<FailureRow>> = host.effects.iter().filter_map(failures).collect();
+    let named: Vec<usize> = reports.iter().map(Vec::len).filter(|count| *count > 0).collect();
+    assert_eq!(named, [1], "at once, and once");
+}
+
+#[test]
+fn can_omit_failures_from_messages_without_any() {
+    // Hosts of earlier builds must get the same bytes.
+    let notice = serde_json::to_string(&leader_notice()).unwrap();
+    assert!(!notice.contains("\"o\""), "{notice}");
+}
--- a/components/decisions/tests/shared_failures.rs
+++ b/components/decisions/tests/shared_failures.rs
@@ -344,3 +344,26 @@
     assert!(reported.avoids(moment(1_500), engine));
     assert!(!reported.avoids(moment(4_600), engine), "reports end");
 }
+
+#[test]
+fn can_leave_checks_to_the_runtime_while_ticks_are_irregular() {
+    // A host without processor time finds the replies to its checks late, and must not blame the zone.
+    for (tick_ms, is_decided) in [(10, true), (60, false)] {
+        let mut keys: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
+        let engines: Vec<UpstreamKey> = (0..4).map(|_| keys.insert(())).collect();
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut zones = ZoneWatch::default();
+        zones.restart(moment(0));
+        zones.record_failure(moment(0), "a", engines[0], moment(0));
+        let chosen = zones.start_checks(moment(0), &BTreeSet::new(), |_| engines.clone(), &mut rng);
+        assert_eq!(chosen.len(), 3);
+        for ms in (0..=300).step_by(tick_ms) {
+            zones.tick(moment(ms));
+        }
+        assert_eq!(zones.is_unreachable("a"), is_decided, "ticks of {tick_ms} ms");
+        for engine in chosen {
+            zones.record_check(moment(310), "a", engine, UpstreamReach::Silent);
+        }
+        assert!(zones.is_unreachable("a"), "the runtime's results count");
+    }
+}
