Merge reachability: zones and upstreams that several hosts cannot reach

A host judges by zone when several upstreams of it fail at once, and leaders publish upstreams that several hosts cannot reach. On for services whose upstreams state their pace, or if the configuration has accounts.

--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -44,12 +44,8 @@
         };
         let limit = self.catalog.rules.max_waiting_per_caller as usize;
         if self.open_by_caller.get(&request.caller).is_some_and(|open| *open >= limit) {
-            let refusal = self.refusal(
-                now,
-                request.target,
-                RefusalOutcome::NotRun,
-                RefusalReason::CallerLimit,
-            );
+            let (outcome, reason) = (RefusalOutcome::NotRun, RefusalReason::CallerLimit);
+            let refusal = self.refusal(now, request.target, outcome, reason);
             effects.push(HostEffect::Refuse(request.ticket, refusal));
             return;
         }
@@ -71,6 +67,8 @@
             deadline,
             stage: if keyed { RequestStage::Claiming } else { RequestStage::Waiting },
             attempts: 0,
+            dispatched: now,
+            ended_attempt: 0,
             settled: false,
             may_have_run: false,
             claim: None,
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -156,6 +156,7 @@
             };
             let excluded =
                 matches!(target, RequestTarget::Asset(asset) if self.is_excluded(now, asset, *key));
+            let excluded = excluded || !self.may_be_reached(now, *key);
             if excluded || !self.members.upstream_accepts(&self.catalog, *key) {
                 continue;
             }
@@ -244,6 +245,7 @@
         let request = &mut self.requests[key];
         request.stage = RequestStage::Dispatched(upstream);
         request.attempts += 1;
+        request.dispatched = now;
         request.first_part = None;
         let (ticket, attempt, target) = (request.ticket, request.attempts, request.target);
         let rank = request.rank;
@@ -254,6 +256,7 @@
         self.tracker.record_dispatch(upstream);
         self.record_work(now, key, chosen);
         self.limits.record_dispatch(now, upstream);
+        self.reach_dispatched(upstream);
         *self.running.entry(target).or_default() += 1;
         let subject = self.target_name(target);
         let asset = match target {
--- a/components/decisions/src/host/work.rs
+++ b/components/decisions/src/host/work.rs
@@ -72,7 +72,8 @@
             ChoiceBasis::Work => true,
             ChoiceBasis::Requests => false,
             ChoiceBasis::Auto => {
-                candidates.iter().any(|candidate| self.work.pace(candidate.key).is_some())
+                self.catalog.has_accounts()
+                    || candidates.iter().any(|candidate| self.work.pace(candidate.key).is_some())
             }
         }
     }
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::reachability::SharedFailures;
 use crate::retry::RetryRules;
 use crate::routing::ChoiceBasis;
 
@@ -50,6 +51,8 @@
     pub refusal_lead: Duration,
     /// Limits on the retries of all hosts together.
     pub retries: RetryRules,
+    /// Whether failures are judged by zone and shared with other hosts.
+    pub shared_failures: SharedFailures,
     /// What the choice among the upstreams of a request is based on.
     pub choice: ChoiceBasis,
 }
@@ -76,6 +79,7 @@
             change_bound: None,
             refusal_lead: Duration::from_millis(40),
             retries: RetryRules::default(),
+            shared_failures: SharedFailures::default(),
             choice: ChoiceBasis::default(),
         }
     }
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -114,6 +114,7 @@
         hosts: 0,
         lease,
         store: StoreView::default(),
+        outages: Vec::new(),
     })
 }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod scrape;
 pub mod shell;
 pub mod startup;
+mod streams;
 
 pub use adapters::EventSource;
 pub use adapters::HostAdapters;
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -35,6 +35,8 @@
     "account.unknown_key",
     "answer.truncated",
     "answer.broken_at_start",
+    "attempt.cut_off",
+    "zone.unreachable",
     "order.not_sent",
     "store.failed",
     "peer.messages",
--- a/components/entry/src/rules.rs
+++ b/components/entry/src/rules.rs
@@ -1,8 +1,10 @@
 //! Rules of the reducer from the settings.
 
 use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::reachability::SharedFailures;
 use wagtailledge_decisions::retry::RetryRules;
 use wagtailledge_decisions::routing::ChoiceBasis;
+use wagtailledge_settings::FeatureSwitch;
 use wagtailledge_settings::HostSettings;
 use wagtailledge_settings::file::RoutingChoice;
 use wagtailledge_settings::file::TimingSection;
@@ -51,3 +53,12 @@
         RoutingChoice::Requests => ChoiceBasis::Requests,
     }
 }
+
+/// Whether failures are judged by zone, from `[routing]`.
+pub(crate) fn shared_failures(settings: &HostSettings) -> SharedFailures {
+    match settings.routing.shared_failures {
+        FeatureSwitch::Auto => SharedFailures::Auto,
+        FeatureSwitch::On => SharedFailures::On,
+        FeatureSwitch::Off => SharedFailures::Off,
+    }
+}
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -36,9 +36,11 @@
 use crate::metrics::HostMetrics;
 use crate::rules::choice_basis;
 use crate::rules::retry_rules;
+use crate::rules::shared_failures;
 use crate::rules::timing_rules;
 use crate::shell::EntryShell;
 use crate::shell::ShellParts;
+use crate::streams::stream_loop;
 
 /// Time between two ticks of the reducer.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -145,6 +147,7 @@
     ) -> Result<Self, StartError> {
         let mut timing = timing_rules(&settings.timing);
         timing.retries = retry_rules(settings);
+        timing.shared_failures = shared_failures(settings);
         timing.choice = choice_basis(settings.routing.choice);
         if settings.platform.protocol == PlatformProtocol::Store {
             // The store announces each configuration, so none is polled.
@@ -166,8 +169,8 @@
             capacity: (settings.host.cores * 1_000.0) as u32,
         };
         let HostAdapters { store, upstreams, orders, sources, frontend } = adapters;
-        let metrics = HostMetrics::new(settings.metrics.statsd).map_err(StartError::Metrics)?;
-        let metrics = Rc::new(metrics);
+        let metrics = HostMetrics::new(settings.metrics.statsd);
+        let metrics = Rc::new(metrics.map_err(StartError::Metrics)?);
         let metrics_address = start_metrics(settings, &metrics)?;
         let parts = ShellParts {
             store,
@@ -336,6 +339,7 @@
 ) {
     shell.spawn_vital("ticks", tick_loop(Rc::clone(shell)));
     shell.spawn_vital("messages of hosts", inbox_loop(Rc::clone(shell), inbox));
+    shell.spawn_vital("streams", stream_loop(Rc::clone(shell)));
     shell.spawn_vital("sweeps", sweep_loop(Rc::clone(shell), Rc::clone(frontend)));
     for source in sources {
         shell.spawn_vital("events of the platform", source.run(Rc::clone(shell)));
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -11,6 +11,8 @@
 use wagtailledge_inventory::TimeSpan;
 use wagtailledge_inventory::parse::parse_sections;
 
+use crate::switch::FeatureSwitch;
+
 /// Shortest accepted shared secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -136,7 +138,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Default)]
 #[serde(rename_all = "kebab-case")]
 pub enum RoutingChoice {
-    /// Expected work for a service whose upstreams state their pace, number of requests for others.
+    /// Expected work for a service whose upstreams state their pace, and for all if the configuration has
+    /// accounts; number of requests for others.
     #[default]
     Auto,
     /// Expected work.
@@ -151,6 +154,8 @@
 pub struct RoutingSection {
     /// What the choice is based on.
     pub choice: RoutingChoice,
+    /// Whether failures of upstreams are judged by zone and shared with other hosts.
+    pub shared_failures: FeatureSwitch,
 }
 
 /// `[drain]`: timing of an orderly shutdown.
