Relay the leader's reads of the store to the hosts of its scope

Cause: each host followed the store by its own watch, which returns at once as engines write some hundred times a second, so calls grew with the hosts.

Change: with `[platform] relayed_reads` a leader's notices say how old its view of the store is, and bring the record of software versions. A host counts its own view as complete as of the moment at which it received the stamp that the notice confirms, less that age, and asks the store itself when this is older than 0.49 to 0.65 of the bound, or half a minute after its last read. Leader, successors and the four hosts with the most processor time follow the store themselves, so takeovers are as fast as before. Renewals of hosts' keys, reads of the lease record and retries are less frequent and spread. Calls are counted by purpose (`store.calls.PURPOSE`). With `off`, or `auto` and fewer than 80 hosts, notices and calls are as before.

Measured: tests of the decisions crate, `relayed_reads`, `store_returns`, `leaving_entries`, `wire_names`, `software_versions` and `platform_path` pass in release.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -162,6 +162,7 @@
         limits: LimitReport::default(),
         leaving: Vec::new(),
         draining: false,
+        stamp: None,
         crash_report: CrashReport::default(),
     })
 }
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -18,6 +18,7 @@
 mod software;
 mod state;
 mod status;
+mod store_reads;
 mod stored_record;
 mod usage;
 
--- a/components/decisions/src/host/peer_sync.rs
+++ b/components/decisions/src/host/peer_sync.rs
@@ -126,6 +126,8 @@
     pub limit_report: u64,
     /// The same if that report named limits, else 0.
     pub limit_ack: u64,
+    /// Highest stamp of this leader's notices that it has confirmed; 0 if none.
+    pub stamp: u64,
 }
 
 impl PeerSync {
--- a/components/decisions/src/host/registry.rs
+++ b/components/decisions/src/host/registry.rs
@@ -153,18 +153,6 @@
         }
     }
 
-    /// Records whether this host can follow the platform's store. A leader tells its hosts at once, as
-    /// they then have to follow it themselves.
-    pub(super) fn set_store_lost(&mut self, is_lost: bool) {
-        if std::mem::replace(&mut self.is_store_lost, is_lost) == is_lost {
-            return;
-        }
-        self.notices_due = true;
-        for sync in self.member_syncs.values_mut() {
-            sync.dirty = true;
-        }
-    }
-
     /// Sends the leader the entries of upstreams that it does not know, because it cannot read the
     /// platform's store. Hosts that cannot read it either learn of them through the leader.
     pub(super) fn send_lacking_entries(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -13,7 +13,6 @@
 use crate::message::LeaderNotice;
 use crate::message::PeerMessage;
 use crate::message::ProcessRow;
-use crate::message::StoreView;
 use crate::message::StoredLease;
 use crate::message::TableUpdate;
 use crate::request::RequestTarget;
@@ -73,7 +72,7 @@
         let directory = &self.registered_upstreams;
         // Hosts with the same base versions of both tables get the same message, unless they reported
         // limits.
-        let mut groups: BTreeMap<(UpdateBase, UpdateBase, u64), Vec<HostIdentity>> =
+        let mut groups: BTreeMap<(UpdateBase, UpdateBase, u64, u64), Vec<HostIdentity>> =
             BTreeMap::new();
         for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
             let sync = match self.member_syncs.get_mut(&identity.name) {
@@ -99,11 +98,11 @@
             sync.registry.record_sent(now, directory.version());
             sync.sent_at = now;
             sync.dirty = false;
-            let group = groups.entry((replicas, registry, sync.limit_ack)).or_default();
+            let group = groups.entry((replicas, registry, sync.limit_ack, sync.stamp)).or_default();
             group.push(identity.clone());
         }
-        for ((replicas, registry, limit_ack), receivers) in groups {
-            let notice = self.build_leader_notice(now, replicas, registry, limit_ack);
+        for ((replicas, registry, limit_ack, stamp), receivers) in groups {
+            let notice = self.build_leader_notice(now, replicas, registry, limit_ack, stamp);
             let message = Box::new(PeerMessage::Leader(notice));
             effects.push(HostEffect::Broadcast(receivers, message));
         }
@@ -117,13 +116,15 @@
     }
 
     /// Notice with all changes since these versions of the replica table and the registered
-    /// upstreams, for hosts whose report about limits with the number `limit_ack` has been applied.
+    /// upstreams, for hosts whose report about limits with the number `limit_ack` has been applied, and which have
+    /// confirmed the stamp `stamp`.
     fn build_leader_notice(
         &self,
         now: Moment,
         replicas: UpdateBase,
         registry: UpdateBase,
         limit_ack: u64,
+        stamp: u64,
     ) -> LeaderNotice {
         let declined = self.declined.iter().filter_map(|asset| self.asset_name(*asset));
         LeaderNotice {
@@ -146,10 +147,7 @@
             quarantine: self.quarantine_table(now, true),
             hosts: self.host_count().unwrap_or(0) as u32,
             lease: self.lease.stored(),
-            store: StoreView {
-                revision: self.registered_upstreams.revision(),
-                is_lost: self.is_store_lost,
-            },
+            store: self.store_view(now, stamp),
         }
     }
 
@@ -173,7 +171,7 @@
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         // The leader's heartbeat shows that it is alive, so idle hosts can send less often.
         let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
-        let gap_due = self.leader_sync.has_gap
+        let gap_due = (self.leader_sync.has_gap || self.store_reads.owes_stamp())
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         let crashes_due =
             self.crashes.is_report_due(now) && now.since(self.leader_sync.sent_at) >= pause;
@@ -206,6 +204,7 @@
             crash_report,
             leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
             draining: self.is_draining(),
+            stamp: self.store_reads.report_stamp(),
         };
         effects.push(HostEffect::send(leader.identity, PeerMessage::Demand(notice)));
     }
@@ -228,6 +227,7 @@
         }
         let same_leader = self.leader.as_ref().is_some_and(|leader| leader.identity == from);
         if !same_leader {
+            self.store_reads.leader_replaced();
             self.leader_sync = PeerSync { dirty: true, ..PeerSync::default() };
             self.report_recent_usage(now);
         }
@@ -241,7 +241,7 @@
             identity: from.clone(),
             epoch: notice.epoch,
             last_message: now,
-            store: notice.store,
+            store: notice.store.clone(),
         });
         self.lease.record_epoch(notice.epoch);
         self.declined = self.assets_named(&notice.declined);
@@ -257,6 +257,7 @@
         self.apply_update(now, &scope, TableRange::AllScopes, &notice.update, effects);
         self.apply_limit_table(now, &from, &notice.limits, effects);
         self.apply_quarantine_table(now, &from, &notice.quarantine, effects);
+        self.apply_relayed_view(now, &notice.store, notice.revision, effects);
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
@@ -292,20 +293,6 @@
         self.leader.take_if(|leader| leader.identity == *from && leader.epoch == epoch);
     }
 
-    /// Whether another host leads this scope and sent a message within the peer timeout.
-    pub fn has_live_leader(&self, now: Moment) -> bool {
-        self.leader.as_ref().is_some_and(|leader| {
-            leader.identity != self.me && now.since(leader.last_message) < self.timing.peer_timeout
-        })
-    }
-
-    /// Whether another host leads this scope, is alive and follows the platform's store, so that this
-    /// host need not ask the store for changes as often.
-    pub fn has_informed_leader(&self, now: Moment) -> bool {
-        let is_lost = self.leader.as_ref().is_some_and(|leader| leader.store.is_lost);
-        self.has_live_leader(now) && !is_lost
-    }
-
     /// Keys of the named assets that are in this configuration.
     pub(super) fn assets_named(&self, names: &[String]) -> BTreeSet<AssetKey> {
         names.iter().filter_map(|name| self.catalog.asset_named(name)).collect()
@@ -371,6 +358,9 @@
         }
         sync.observe_process(&from);
         sync.revision = notice.revision;
+        // A confirmation for an earlier process of this host shows nothing.
+        let is_mine = self.placement.as_ref().is_some_and(|mine| mine.epoch == notice.epoch);
+        sync.stamp = notice.stamp.filter(|_| is_mine).unwrap_or_default();
         sync.replicas.record_ack(now, notice.ack, self.view.id());
         sync.registry.record_ack(now, notice.registry_ack, self.registered_upstreams.id());
         // The next notice names the newer revision to a host with an older configuration.
--- a/components/decisions/src/host/software.rs
+++ b/components/decisions/src/host/software.rs
@@ -296,6 +296,12 @@
         }
     }
 
+    /// The record of software versions with its version, for other hosts; `None` before it was read.
+    pub(super) fn stored_software(&self) -> Option<(u64, String)> {
+        let record = &self.software.record;
+        Some((record.version()?, record.known()?.to_value()))
+    }
+
     /// Records how much of the key-value service this host knows.
     pub(super) fn store_seen(&mut self, now: Moment, at: Moment) {
         if at <= now {
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -38,6 +38,7 @@
 use crate::placement::UsageTable;
 use crate::registry::CallPurpose;
 use crate::registry::PendingCalls;
+use crate::relay::StoreReads;
 use crate::request::RequestKey;
 use crate::request::RequestTarget;
 use crate::request::RequestTicket;
@@ -156,8 +157,8 @@
     pub(super) declined: BTreeSet<AssetKey>,
     /// Upstreams that registered themselves with the platform.
     pub(super) registered_upstreams: RegistryDirectory,
-    /// Whether the last call to follow the platform's store failed.
-    pub(super) is_store_lost: bool,
+    /// How far this host follows the platform's store, and when it asks next.
+    pub(super) store_reads: StoreReads,
     /// Entries that were last sent to a leader which lacks them: when, and their highest revision.
     pub(super) entries_sent: (Moment, u64),
     /// When a sweep first found the entry of a registered process missing.
@@ -191,6 +192,7 @@
     pub fn new(now: Moment, me: HostIdentity, timing: TimingRules, seed: u64) -> Self {
         // Incarnations are unique only within one host, so the name is hashed too.
         let table_seed = xxh3_64_with_seed(me.name.as_bytes(), me.incarnation);
+        let store_reads = StoreReads::new(timing.relay_hosts, table_seed);
         Self {
             me,
             retry_budget: RetryBudget::new(timing.retries.clone()),
@@ -229,7 +231,7 @@
             retry_demand_until: BTreeMap::new(),
             declined: BTreeSet::new(),
             registered_upstreams: RegistryDirectory::new(table_seed),
-            is_store_lost: false,
+            store_reads,
             entries_sent: (Moment::default(), 0),
             missing_since: SecondaryMap::new(),
             configuration_origin: ConfigurationOrigin::default(),
@@ -308,15 +310,8 @@
             HostEvent::SoftwareRecord(version, value) => {
                 self.apply_software_record(now, version, &value, effects);
             }
-            HostEvent::StoreSeen(at) => {
-                self.set_store_lost(false);
-                self.lease.record_list(at, &self.me, &self.members);
-                self.store_seen(now, at);
-            }
-            HostEvent::StoreLost => {
-                self.lease.record_list_lost();
-                self.set_store_lost(true);
-            }
+            HostEvent::StoreSeen(at) => self.store_read(now, at),
+            HostEvent::StoreLost => self.store_read_failed(),
             HostEvent::Inventory(revision, items) => {
                 if self.configuration.accept(revision, &items, &mut self.catalog) {
                     self.configuration_changed(now, STORE_SOURCE, effects);
@@ -518,11 +513,13 @@
         effects: &mut Vec<HostEffect>,
         step: impl FnOnce(&mut LeaseState, &mut LeaseContext<'_>),
     ) {
+        let read_interval = self.lease_read_interval(now);
         let mut context = LeaseContext {
             now,
             me: &self.me,
             timing: &self.timing,
             members: &self.members,
+            read_interval,
             rng: &mut self.rng,
             store_calls: &mut self.store_calls,
             effects,
--- a/components/decisions/src/host/stored_record.rs
+++ b/components/decisions/src/host/stored_record.rs
@@ -29,6 +29,11 @@
         self.version.is_some().then_some(&self.stored)
     }
 
+    /// Its version, 0 if there is none; `None` before it was read.
+    pub(super) fn version(&self) -> Option<u64> {
+        self.version
+    }
+
     /// Whether a call may be made now.
     pub(super) fn may_call(&self, now: Moment) -> bool {
         !self.call_in_flight && now >= self.next_call
--- a/components/decisions/src/lease/mod.rs
+++ b/components/decisions/src/lease/mod.rs
@@ -8,14 +8,17 @@
 //! its promises have expired, or wait for the longest possible extension. See
 //! `docs/design/leadership.md`.
 
+mod context;
 mod holder;
 mod record;
 mod state;
 mod successor;
 
+pub use context::LeaseContext;
+pub use context::RARE_READ_INTERVAL;
+pub use context::READ_INTERVAL;
 pub use holder::HeldLease;
 pub use record::LeaseRecord;
 pub use record::lease_key;
-pub use state::LeaseContext;
 pub use state::LeaseState;
 pub use successor::SuccessorState;
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rand::rngs::SmallRng;
 
 use crate::effect::HostEffect;
 use crate::identity::HostIdentity;
@@ -12,19 +11,17 @@
 use crate::message::StoredLease;
 use crate::registry::CallPurpose;
 use crate::registry::LeaseCall;
-use crate::registry::PendingCalls;
 use crate::store::StoreOp;
 use crate::store::StoreOutcome;
 use crate::time::Moment;
 use crate::timing::TimingRules;
 
+use super::context::LeaseContext;
 use super::holder::HeldLease;
 use super::record::LeaseRecord;
 use super::record::lease_key;
 use super::successor::SuccessorState;
 
-/// Time between two reads of the record while no leader is reachable, and after a failed call.
-const READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Each candidate delays its takeover by a random time of up to this.
 const TAKEOVER_JITTER: Duration = Duration::from_millis(400);
 /// Extra delay of a takeover if another host has more CPU time: long enough for that host to
@@ -45,40 +42,6 @@
     unchanged_since: Moment,
 }
 
-/// Inputs of one step of the lease logic.
-#[derive(Debug)]
-pub struct LeaseContext<'c> {
-    /// Time of this step.
-    pub now: Moment,
-    /// Identity of this process.
-    pub me: &'c HostIdentity,
-    /// Durations that all hosts of the deployment share.
-    pub timing: &'c TimingRules,
-    /// Other hosts, listed or known from their messages.
-    pub members: &'c MemberDirectory,
-    /// Source of the takeover jitter.
-    pub rng: &'c mut SmallRng,
-    /// Registers calls to the key-value service.
-    pub store_calls: &'c mut PendingCalls,
-    /// Collects the effects of this step.
-    pub effects: &'c mut Vec<HostEffect>,
-}
-
-impl LeaseContext<'_> {
-    /// Whether another host of the scope has more than `factor` times this one's CPU time.
-    fn has_larger_peer(&self, factor: u32) -> bool {
-        let oldest = self.now.before(self.timing.peer_timeout);
-        let min_capacity = self.me.capacity.saturating_mul(factor).saturating_add(1);
-        self.members.has_host_with_capacity(&self.me.scope, &self.me.name, oldest, min_capacity)
-    }
-
-    /// Other hosts of the scope that sent a message within `peer_timeout` and are not leaving.
-    fn reachable_peers(&self) -> Vec<HostIdentity> {
-        let oldest = self.now.before(self.timing.peer_timeout);
-        self.members.reachable_in_scope(&self.me.scope, &self.me.name, oldest)
-    }
-}
-
 /// One process's view of the lease of its scope, as holder, candidate and successor.
 #[derive(Debug, Clone)]
 pub struct LeaseState {
@@ -251,7 +214,7 @@
         if self.call_in_flight || context.now < self.next_call {
             return;
         }
-        self.next_call = context.now.after(READ_INTERVAL);
+        self.next_call = context.now.after(context.read_interval);
         self.call_in_flight = true;
         let op = StoreOp::Read { key: lease_key(&context.me.scope) };
         context.store_calls.call(
@@ -339,7 +302,7 @@
         self.call_in_flight = false;
         let epoch_before = self.held_epoch();
         match outcome {
-            StoreOutcome::Failed => self.next_call = context.now.after(READ_INTERVAL),
+            StoreOutcome::Failed => self.next_call = context.now.after(context.read_interval),
             StoreOutcome::Done { version } => self.write_succeeded(context, call, version, sent),
             StoreOutcome::Absent => self.observe(context, 0, None),
             StoreOutcome::Found { version, value } => {
--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`configuration`]: configuration in force and its exchange between hosts.
 //! - [`discovery`]: upstreams that register with the platform.
 //! - [`membership`]: known entry hosts and upstreams.
+//! - [`relay`]: when a host asks the platform's store, and when its leader does so for it.
 
 pub mod admission;
 pub mod configuration;
@@ -40,6 +41,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod registry;
+pub mod relay;
 pub mod request;
 pub mod retry;
 pub mod routing;
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -17,6 +17,9 @@
 use crate::limits::RequestRate;
 use crate::request::LedgerKey;
 
+pub use crate::relay::RelayedView;
+pub use crate::relay::StoreView;
+
 /// Version of the message format; a host rejects any other.
 pub const MESSAGE_VERSION: u32 = 1;
 
@@ -336,24 +339,6 @@
     pub store: StoreView,
 }
 
-/// How far a host follows the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct StoreView {
-    /// Highest revision among the entries of upstreams that it knows; 0 if it knows none.
-    #[serde(rename = "r")]
-    pub revision: u64,
-    /// Whether its last call to follow the store failed.
-    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_lost: bool,
-}
-
-impl StoreView {
-    /// Whether the view is the default one, which says nothing.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
-    }
-}
-
 /// Lease record with its version in the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredLease {
@@ -398,6 +383,9 @@
     /// Whether the sender is draining and must not be named as a successor any more.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub draining: bool,
+    /// Highest stamp of the leader's notices that the sender has received; `None` if it received none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stamp: Option<u64>,
 }
 
 /// Report of a leader to the leader of another scope.
--- a/components/decisions/src/timing.rs
+++ b/components/decisions/src/timing.rs
@@ -45,6 +45,9 @@
     /// Time within which changes in the key-value service reach every host that can read it; `None` when
     /// the platform does not announce them.
     pub change_bound: Option<Duration>,
+    /// Number of hosts of a scope from which on they rely on their leader's reads of the platform's store;
+    /// `None` if each host reads for itself.
+    pub relay_hosts: Option<usize>,
     /// Time before its deadline at which a waiting request is refused.
     pub refusal_lead: Duration,
     /// Limits on the retries of all hosts together.
@@ -71,6 +74,7 @@
             eviction_idle: Duration::from_secs(5),
             configuration_read: Some(Duration::from_secs(1)),
             change_bound: None,
+            relay_hosts: None,
             refusal_lead: Duration::from_millis(40),
             retries: RetryRules::default(),
         }
--- a/components/decisions/tests/quarantine.rs
+++ b/components/decisions/tests/quarantine.rs
@@ -379,6 +379,7 @@
         crash_report,
         leaving: Vec::new(),
         draining: false,
+        stamp: None,
     };
     leader.submit(HostEvent::Peer(Box::new(PeerEnvelope {
         version: MESSAGE_VERSION,
--- a/components/decisions/tests/store_views.rs
+++ b/components/decisions/tests/store_views.rs
@@ -105,7 +105,7 @@
 fn published_views(leader: &TestLeader) -> Vec<StoreView> {
     let view = |effect: &HostEffect| match effect {
         HostEffect::Broadcast(_, message) => match message.as_ref() {
-            PeerMessage::Leader(notice) => Some(notice.store),
+            PeerMessage::Leader(notice) => Some(notice.store.clone()),
             _ => None,
         },
         _ => None,
@@ -122,8 +122,8 @@
     leader.forget_effects();
     leader.submit(HostEvent::StoreLost);
     leader.advance(30);
-    let lost = StoreView { revision: 7, is_lost: true };
-    assert_eq!(published_views(&leader), [lost]);
+    let lost = StoreView { revision: 7, is_lost: true, relay: None };
+    assert_eq!(published_views(&leader), std::slice::from_ref(&lost));
     leader.submit(HostEvent::StoreSeen(leader.host.now));
     leader.advance(30);
     assert_eq!(published_views(&leader).last(), Some(&StoreView { is_lost: false, ..lost }));
@@ -135,7 +135,7 @@
 fn can_send_a_leader_the_entries_that_it_cannot_read() {
     let mut host = TestHost::with_inventory(INVENTORY);
     host.submit(entry("vents-1", ListedState::Live, 7));
-    host.receive(notice(StoreView { revision: 7, is_lost: true }));
+    host.receive(notice(StoreView { revision: 7, is_lost: true, relay: None }));
     host.advance(100);
     assert_eq!(sent_entries(&host), [], "the leader knows all that this host knows");
     host.submit(entry("vents-1", ListedState::Leaving, 8));
@@ -145,7 +145,7 @@
     host.advance(1_000);
     assert!((2..=4).contains(&sent_entries(&host).len()), "{:?}", sent_entries(&host));
     host.effects.clear();
-    host.receive(notice(StoreView { revision: 8, is_lost: true }));
+    host.receive(notice(StoreView { revision: 8, is_lost: true, relay: None }));
     host.advance(1_000);
     assert_eq!(sent_entries(&host), []);
 }
@@ -153,7 +153,7 @@
 #[test]
 fn can_send_a_leader_the_entries_that_it_does_not_learn_of() {
     let mut host = TestHost::with_inventory(INVENTORY);
-    host.receive(notice(StoreView { revision: 7, is_lost: false }));
+    host.receive(notice(StoreView { revision: 7, is_lost: false, relay: None }));
     host.submit(entry("vents-1", ListedState::Leaving, 8));
     host.advance(900);
     assert_eq!(sent_entries(&host), [], "the leader may still read the entry by itself");
@@ -165,7 +165,7 @@
 #[test]
 fn can_send_a_leader_many_entries_in_the_order_of_their_revisions() {
     let mut host = TestHost::with_inventory(INVENTORY);
-    host.receive(notice(StoreView { revision: 1, is_lost: true }));
+    host.receive(notice(StoreView { revision: 1, is_lost: true, relay: None }));
     // As one read of the store delivers them.
     let change = |number: u64| {
         let name = format!("vents-{:04}", 1_000 - number);
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -192,6 +192,7 @@
             crash_report: CrashReport::default(),
             leaving: Vec::new(),
             draining: false,
+            stamp: None,
         };
         self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
             version: MESSAGE_VERSION,
--- a/components/decisions/tests/table_sync.rs
+++ b/components/decisions/tests/table_sync.rs
@@ -123,6 +123,7 @@
             limits: LimitReport::default(),
             leaving: Vec::new(),
             draining: false,
+            stamp: None,
             crash_report: CrashReport::default(),
         };
         leader.submit(HostEvent::Peer(Box::new(PeerEnvelope {
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -29,7 +29,6 @@
 use wagtailledge_peers::PeerTraffic;
 use wagtailledge_settings::HostSettings;
 use wagtailledge_settings::file::DrainSection;
-use wagtailledge_settings::file::PlatformProtocol;
 use wagtailledge_settings::file::TimingSection;
 
 use crate::adapters::EventSource;
@@ -172,10 +171,11 @@
     ) -> Result<Self, StartError> {
         let mut timing = timing_rules(&settings.timing);
         timing.retries = retry_rules(settings);
-        if settings.platform.protocol == PlatformProtocol::Store {
+        if settings.platform.uses_store() {
             // The store announces each configuration, so none is polled.
             timing.configuration_read = None;
             timing.change_bound = Some(settings.platform.change_bound());
+            timing.relay_hosts = settings.platform.relayed_reads.min_hosts();
             timing.unlisted_takeover = settings.platform.checks_tokens.then_some(UNLISTED_TAKEOVER);
         }
         timing.check().map_err(StartError::Timing)?;
@@ -192,8 +192,8 @@
             capacity: (settings.host.cores * 1_000.0) as u32,
         };
         let HostAdapters { store, upstreams, orders, sources, frontend } = adapters;
-        let metrics = HostMetrics::new(settings.metrics.statsd).map_err(StartError::Metrics)?;
-        let metrics = Rc::new(metrics);
+        let metrics = HostMetrics::new(settings.metrics.statsd);
+        let metrics = Rc::new(metrics.map_err(StartError::Metrics)?);
         let metrics_address = start_metrics(settings, &metrics)?;
         let parts = ShellParts {
             store,
--- a/components/entry/src/shell.rs
+++ b/components/entry/src/shell.rs
@@ -226,6 +226,11 @@
         recently_used.keys().filter_map(address).collect()
     }
 
+    /// Sends the current value of a gauge that an event source keeps.
+    pub fn send_gauge(&self, name: &str, value: u64) {
+        self.parts.metrics.gauge(name, value);
+    }
+
     /// Sends the current value of every gauge.
     pub fn send_gauges(&self) {
         let status = self.status();
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -11,6 +11,8 @@
 use wagtailledge_inventory::TimeSpan;
 use wagtailledge_inventory::parse::parse_sections;
 
+use crate::relayed_reads::RelayedReads;
+
 /// Shortest accepted shared secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -87,6 +89,9 @@
     /// change. The shortest decides how often the host asks for changes.
     #[serde(default = "default_change_bounds")]
     pub change_bounds: Vec<TimeSpan>,
+    /// Whether hosts rely on their leader's reads of the store.
+    #[serde(default)]
+    pub relayed_reads: RelayedReads,
 }
 
 /// `[security]`: authentication of messages between hosts and from operators.
@@ -204,6 +209,11 @@
 }
 
 impl PlatformSection {
+    /// Whether the platform's protocol is that of one store.
+    pub fn uses_store(&self) -> bool {
+        self.protocol == PlatformProtocol::Store
+    }
+
     /// Time within which every change in the store must take effect at this host.
     pub fn change_bound(&self) -> Duration {
         self.change_bounds.iter().map(|bound| bound.0).min().unwrap_or_default()
@@ -331,7 +341,7 @@
     let problem = format!("must be 0 or more, but is {cores}");
     require(cores >= 0.0, "[host] cores", &problem);
     let secret_bytes = settings.security.shared_secret.len();
-    let uses_store = settings.platform.protocol == PlatformProtocol::Store;
+    let uses_store = settings.platform.uses_store();
     let is_long_enough = secret_bytes >= MIN_SECRET_BYTES || (uses_store && secret_bytes == 0);
     let problem = format!("must have at least {MIN_SECRET_BYTES} bytes, but has {secret_bytes}");
     require(is_long_enough, "[security] shared_secret", &problem);
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -3,6 +3,8 @@
 //! Addresses, the availability zone and the platform's endpoints are configured only here.
 
 pub mod file;
+pub mod relayed_reads;
 
 pub use file::HostSettings;
 pub use file::read_settings;
+pub use relayed_reads::RelayedReads;
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! `tests/wire_names.rs` checks.
 
 mod engine;
+mod gate;
 mod service;
 mod stack;
 mod store;
@@ -13,10 +14,10 @@
 pub use engine::LeavingAnswers;
 pub use engine::RunRecord;
 pub use engine::StreamEnd;
+pub use gate::StoreGate;
 pub use service::FleetService;
 pub use service::ServiceBehavior;
 pub use stack::FleetSpec;
 pub use stack::FleetStack;
 pub use store::FleetStore;
 pub use store::StoreCopy;
-pub use store::StoreGate;
--- a/components/standins/src/fleet/stack.rs
+++ b/components/standins/src/fleet/stack.rs
@@ -8,9 +8,9 @@
 use wagtailledge_settings::file::parse_settings;
 
 use super::engine::FleetEngine;
+use super::gate::StoreGate;
 use super::service::FleetService;
 use super::store::FleetStore;
-use super::store::StoreGate;
 use crate::http::StandInServer;
 use crate::stack::HostThread;
 use crate::stack::SHARED_SECRET;
@@ -225,9 +225,23 @@
     /// # Panics
     /// When the host does not start.
     pub fn add_gated_host(&mut self, name: &str, bound: u32) -> StoreGate {
+        self.add_host_through_gate(name, &format!("change_bounds = [\"{bound}s\"]"))
+    }
+
+    /// Starts another entry host like [`Self::add_gated_host`], which relies on its leader's reads of the
+    /// store.
+    ///
+    /// # Panics
+    /// When the host does not start.
+    pub fn add_relying_host(&mut self, name: &str, bound: u32) -> StoreGate {
+        let platform = format!("change_bounds = [\"{bound}s\"]\nrelayed_reads = \"on\"");
+        self.add_host_through_gate(name, &platform)
+    }
+
+    fn add_host_through_gate(&mut self, name: &str, platform: &str) -> StoreGate {
         let gate = self.store.gate();
         let server = gate.start();
-        let bounds = format!("[platform]\nchange_bounds = [\"{bound}s\"]");
+        let bounds = format!("[platform]\n{platform}");
         let text = self.settings_text(name).replace("[platform]", &bounds);
         let address = self.store_server.address().to_string();
         self.add_host_with(&text.replace(&address, &server.address().to_string()));
--- a/components/standins/src/fleet/store.rs
+++ b/components/standins/src/fleet/store.rs
@@ -4,9 +4,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +19,8 @@
 use crate::http::StandInRequest;
 use crate::http::StandInServer;
 
+use super::gate::StoreGate;
+
 /// Interval at which a watch checks for changes.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -106,7 +105,7 @@
 
     /// A way to the store for one host.
     pub fn gate(&self) -> StoreGate {
-        StoreGate { store: self.clone(), refusing: Arc::default(), delay_ms: Arc::default() }
+        StoreGate::new(self.clone())
     }
 
     /// Starts or ends a silent period, during which no call is answered. Watches that are open when
@@ -380,46 +379,6 @@
     }
 }
 
-/// Way to the store for one host, which can be closed.
-#[derive(Debug, Clone)]
-pub struct StoreGate {
-    store: FleetStore,
-    refusing: Arc<AtomicBool>,
-    delay_ms: Arc<AtomicU64>,
-}
-
-impl StoreGate {
-    /// Starts its HTTP server on a free loopback port.
-    pub fn start(&self) -> StandInServer {
-        StandInServer::start(Arc::new(self.clone()))
-    }
-
-    /// Sets whether every call of the host is answered with status 503 and not executed.
-    pub fn set_refusing(&self, refusing: bool) {
-        self.refusing.store(refusing, Ordering::Relaxed);
-    }
-
-    /// Sets the time by which every answer to the host is late.
-    pub fn set_delay(&self, delay: Duration) {
-        self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
-    }
-}
-
-impl StandInHandler for StoreGate {
-    fn handle(self: Arc<Self>, request: StandInRequest) -> LocalBoxFuture<'static, StandInAnswer> {
-        async move {
-            if self.refusing.load(Ordering::Relaxed) {
-                return StandInAnswer::Json(503, json!({}));
-            }
-            let answer = Arc::new(self.store.clone()).handle(request).await;
-            let delay = self.delay_ms.load(Ordering::Relaxed);
-            actix_rt::time::sleep(Duration::from_millis(delay)).await;
-            answer
-        }
-        .boxed_local()
-    }
-}
-
 impl StandInHandler for FleetStore {
     fn handle(self: Arc<Self>, request: StandInRequest) -> LocalBoxFuture<'static, StandInAnswer> {
         async move {
--- a/components/standins/src/stack.rs
+++ b/components/standins/src/stack.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
+use tokio::sync::mpsc as unbounded;
 use tokio::sync::oneshot;
 use wagtailledge_decisions::configuration::ItemMap;
 use wagtailledge_decisions::configuration::to_items;
@@ -58,6 +59,7 @@
     /// Address of the metrics as text; `None` when they are not served.
     pub metrics_address: Option<SocketAddr>,
     stop: Option<oneshot::Sender<HostStop>>,
+    freezes: unbounded::UnboundedSender<Duration>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
@@ -83,6 +85,7 @@
         let name = settings.host.name.clone();
         let (ready, addresses) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
+        let (freezes, mut frozen) = unbounded::unbounded_channel::<Duration>();
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let host = EntryHost::start(&settings, adapters(&settings))
@@ -94,6 +97,12 @@
                     host.readiness_address(),
                     host.metrics_address(),
                 ));
+                actix_rt::spawn(async move {
+                    while let Some(time) = frozen.recv().await {
+                        // The host's only thread: nothing of it runs meanwhile.
+                        std::thread::sleep(time);
+                    }
+                });
                 if stopped.await == Ok(HostStop::Drain) {
                     host.drain().await;
                 }
@@ -108,6 +117,7 @@
             readiness_address,
             metrics_address,
             stop: Some(stop),
+            freezes,
             thread: Some(thread),
         }
     }
@@ -118,6 +128,11 @@
         }
     }
 
+    /// Freezes the host for a time. Its connections stay open.
+    pub fn freeze(&self, time: Duration) {
+        let _ = self.freezes.send(time);
+    }
+
     /// Stops the host at once and closes all its connections.
     pub fn kill(&mut self) {
         self.send_stop(HostStop::Kill);
