--- a/components/decisions/src/relay/reads.rs
+++ b/components/decisions/src/relay/reads.rs
@@ -194,15 +194,15 @@
         if !self.is_relayed(now) {
             return until(read_at.after(direct));
         }
+        let spread = |salt| 1.0 - STALE_SPREAD * self.draw(salt);
+        let stale = self.complete_at.unwrap_or_default();
+        let stale = stale.after(bound.mul_f64(STALE_SHARE * spread(0)));
+        // A call that waited without changes ends with a view as old as the wait.
+        let stale = stale.max(read_at.after(DIRECT_INTERVAL));
         match situation.role {
             ReadRole::Leader => until(read_at.after(LEADER_INTERVAL)),
-            ReadRole::Standby => until(read_at.after(direct)),
+            ReadRole::Standby => until(stale.min(read_at.after(direct))),
             ReadRole::Follower => {
-                let spread = |salt| 1.0 - STALE_SPREAD * self.draw(salt);
-                let stale = self.complete_at.unwrap_or_default();
-                let stale = stale.after(bound.mul_f64(STALE_SHARE * spread(0)));
-                // A call that waited without changes ends with a view as old as the wait.
-                let stale = stale.max(read_at.after(DIRECT_INTERVAL));
                 let refresh = REFRESH_INTERVAL.mul_f64(spread(read_at.0));
                 until(stale.min(read_at.after(refresh)))
             }
