Merge relayed reads of the store

The leader and its standbys follow the store; other hosts rely on the age of the leader's view and ask for themselves when it is too old for the bounds of configuration and drains.

--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -21,6 +21,7 @@
 mod software;
 mod state;
 mod status;
+mod store_reads;
 mod stored_record;
 mod usage;
 mod work;
--- a/components/decisions/src/host/reachability.rs
+++ b/components/decisions/src/host/reachability.rs
@@ -54,6 +54,11 @@
 }
 
 impl HostReach {
+    /// Whether an upstream of any service has stated its pace.
+    pub(super) fn has_paced_services(&self) -> bool {
+        !self.paced_services.is_empty()
+    }
+
     /// Examines the requests in flight with the next tick.
     pub(super) fn examine_at_once(&mut self, now: Moment) {
         self.next_examination = now;
@@ -108,9 +113,7 @@
         match self.timing.shared_failures {
             SharedFailures::On => true,
             SharedFailures::Off => false,
-            SharedFailures::Auto => {
-                self.catalog.has_accounts() || !self.reach.paced_services.is_empty()
-            }
+            SharedFailures::Auto => self.catalog.has_accounts() || self.reach.has_paced_services(),
         }
     }
 
--- a/components/decisions/tests/quarantine.rs
+++ b/components/decisions/tests/quarantine.rs
@@ -381,6 +381,7 @@
         leaving: Vec::new(),
         draining: false,
         failures: Vec::new(),
+        stamp: None,
     };
     leader.submit(HostEvent::Peer(Box::new(PeerEnvelope {
         version: MESSAGE_VERSION,
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -199,6 +199,7 @@
             leaving: Vec::new(),
             draining: false,
             failures: Vec::new(),
+            stamp: None,
         };
         self.submit(HostEvent::Peer(Box::new(PeerEnvelope {
             version: MESSAGE_VERSION,
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -27,7 +27,6 @@
 use wagtailledge_peers::PeerTraffic;
 use wagtailledge_settings::HostSettings;
 use wagtailledge_settings::file::DrainSection;
-use wagtailledge_settings::file::PlatformProtocol;
 
 use crate::adapters::EventSource;
 use crate::adapters::HostAdapters;
@@ -149,10 +148,11 @@
         timing.retries = retry_rules(settings);
         timing.shared_failures = shared_failures(settings);
         timing.choice = choice_basis(settings.routing.choice);
-        if settings.platform.protocol == PlatformProtocol::Store {
+        if settings.platform.uses_store() {
             // The store announces each configuration, so none is polled.
             timing.configuration_read = None;
             timing.change_bound = Some(settings.platform.change_bound());
+            timing.relay_hosts = settings.platform.relayed_reads.min_hosts();
             timing.unlisted_takeover = settings.platform.checks_tokens.then_some(UNLISTED_TAKEOVER);
         }
         timing.check().map_err(StartError::Timing)?;
--- a/components/upstreams/tests/stopped_exchanges.rs
+++ b/components/upstreams/tests/stopped_exchanges.rs
@@ -43,6 +43,7 @@
         body: Bytes::new(),
         request_id: "r-1".to_owned(),
         asset: String::new(),
+        account: None,
         rank: 1,
         remaining: MAX_WAIT,
         resume_after: None,
