--- a/components/decisions/src/host/reachability.rs
+++ b/components/decisions/src/host/reachability.rs
@@ -212,6 +212,10 @@
             self.reach.reported.record_answer(now, upstream, now);
         } else if self.members.upstream_accepts(&self.catalog, upstream) {
             self.reach.failures.record_failure(now, upstream);
+        } else {
+            // An upstream that leaves may end its process at any time.
+            self.reach.zones.forget_check(&zone, upstream);
+            return;
         }
         let change = self.reach.zones.record_check(now, &zone, upstream, reach);
         self.zone_changed(now, &zone, change, effects);
--- a/components/decisions/src/reachability/zone.rs
+++ b/components/decisions/src/reachability/zone.rs
@@ -195,6 +195,10 @@
         self.checks.entry(upstream).or_insert(now);
     }
 
+    pub(super) fn forget_check(&mut self, upstream: UpstreamKey) {
+        self.checks.remove(&upstream);
+    }
+
     /// Records the result of a check of an upstream. Returns the change if there is one.
     pub(super) fn record_check(
         &mut self,
--- a/components/decisions/src/reachability/zones.rs
+++ b/components/decisions/src/reachability/zones.rs
@@ -111,6 +111,13 @@
         self.zone(now, zone).record_check_started(now, upstream);
     }
 
+    /// Forgets a check whose result shows nothing.
+    pub fn forget_check(&mut self, zone: &str, upstream: UpstreamKey) {
+        if let Some(state) = self.zones.get_mut(zone) {
+            state.forget_check(upstream);
+        }
+    }
+
     /// Records the result of a check of an upstream.
     pub fn record_check(
         &mut self,
--- a/components/settings/tests/faults.rs
+++ b/components/settings/tests/faults.rs
@@ -20,10 +20,16 @@
 "#;
 
 /// Text to replace, its replacement, the expected item and a part of the expected problem.
-const CASES: [(&str, &str, &str, &str); 9] = [
+const CASES: [(&str, &str, &str, &str); 10] = [
     ("[host]", "[hosts]", "[host]", "section is missing"),
     ("[limits]", "[limit]", "limit", "unknown section"),
     ("name = \"east-1\"", "name = \"\"", "[host] name", "must not be empty"),
+    (
+        "[limits]",
+        "[routing]\nshared_failures = 1\n[limits]",
+        "[routing]",
+        "true, false or \"auto\"",
+    ),
     ("callers =", "caller =", "[listen]", "unknown field"),
     ("127.0.0.1:8080", "localhost:8080", "[listen]", "invalid socket address"),
     ("http://127.0.0.1:2379", "127.0.0.1:2379", "[platform] key_value", "must be an http:// URL"),
