--- a/components/entry/tests/cut_zones.rs
+++ b/components/entry/tests/cut_zones.rs
@@ -152,12 +152,10 @@
         head.push(byte);
     }
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    let text = match is_cut {
-        true => HEAD.to_owned() + &chunk("id: 1\ndata: eggs\n\n"),
-        false => {
-            let events = "id: 2\ndata: milk\n\nid: 3\ndata: [DONE]\n\n";
-            HEAD.to_owned() + &chunk(events) + "0\r\n\r\n"
-        }
+    let text = if is_cut {
+        HEAD.to_owned() + &chunk("id: 1\ndata: eggs\n\n")
+    } else {
+        HEAD.to_owned() + &chunk("id: 2\ndata: milk\n\nid: 3\ndata: [DONE]\n\n") + "0\r\n\r\n"
     };
     let _ = stream.write_all(text.as_bytes()).await;
     let _ = stream.read_u8().await;
