Add a decision module for quotas over all hosts

Cause: an account's quota must hold over the sum of all hosts, and hosts cannot share a counter. Nothing calls it yet.

--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`quarantine`]: prompt parts that crash upstreams.
 //! - [`software`]: software versions of upstreams, and which one began a stream.
 //! - [`limits`]: limits that upstreams set on the requests of all hosts together.
+//! - [`quota`]: quotas of accounts over all hosts.
 //! - [`retry`]: retry budget of a host.
 //! - [`ledger`]: records that prevent a non-idempotent call from running twice.
 //! - [`lease`]: election of the leader of a scope.
@@ -39,6 +40,7 @@
 pub mod order;
 pub mod placement;
 pub mod quarantine;
+pub mod quota;
 pub mod registry;
 pub mod request;
 pub mod retry;
