Call the quotas from the hosts

Cause: the decision module was not called. Change: requests of accounts with a quota are admitted, asked about or refused (429, account-quota) before they enter the queue, in the new stage Asking. Use is reported in demand notices; questions and answers are messages of their own; states of accounts are published in leader notices.

--- a/components/decisions/benches/slopes/measure.rs
+++ b/components/decisions/benches/slopes/measure.rs
@@ -26,6 +26,8 @@
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::message::UsageRow;
+use wagtailledge_decisions::quota::QuotaReport;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::request::CallerRequest;
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTicket;
@@ -160,6 +162,7 @@
         ],
         suspects: Vec::new(),
         limits: LimitReport::default(),
+        quota: QuotaReport::default(),
         leaving: Vec::new(),
         draining: false,
         crash_report: CrashReport::default(),
@@ -281,6 +284,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 0,
         lease: None,
         store: StoreView::default(),
--- a/components/decisions/src/admission/record.rs
+++ b/components/decisions/src/admission/record.rs
@@ -5,6 +5,7 @@
 use wagtailledge_inventory::catalog::SoftwareVersion;
 
 use crate::ledger::LedgerClaim;
+use crate::quota::QuotaStanding;
 use crate::request::RecordedAnswer;
 use crate::request::RequestRepeat;
 use crate::request::RequestTarget;
@@ -15,6 +16,8 @@
 /// Progress of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestStage {
+    /// It waits until it is known to be within the quota of its account, and was never dispatched.
+    Asking,
     /// It waits for its claim in the ledger or for an earlier call, and was never dispatched.
     Claiming,
     /// It waits for an upstream, and no dispatch of it is in flight.
@@ -67,6 +70,9 @@
     pub caller: u64,
     /// Account of the caller; `None` if it has none.
     pub account: Option<AccountKey>,
+    /// What the quota of its account means for it. Exactly the requests in the stage `Asking` are asked
+    /// about.
+    pub quota: QuotaStanding,
     /// Settings of its route; `None` if it matched none.
     pub terms: Option<RouteTerms>,
     /// Number of dispatches that ran or may have run.
@@ -111,7 +117,7 @@
             RequestStage::Dispatched(upstream) | RequestStage::Streaming(upstream) => {
                 Some(upstream)
             }
-            RequestStage::Claiming | RequestStage::Waiting => None,
+            RequestStage::Asking | RequestStage::Claiming | RequestStage::Waiting => None,
         }
     }
 }
--- a/components/decisions/src/effect.rs
+++ b/components/decisions/src/effect.rs
@@ -36,6 +36,8 @@
     Limit,
     /// A host is granted permits for requests to a limited upstream.
     Permit,
+    /// Hosts have to ask about every request of an account, or no longer have to.
+    Quota,
     /// It becomes known which software version a stream must be continued by, or that versions of a
     /// service's software change.
     Software,
--- a/components/decisions/src/host/attempts.rs
+++ b/components/decisions/src/host/attempts.rs
@@ -246,6 +246,7 @@
             self.leader_sync.dirty = true;
         }
         if self.requests[key].settled {
+            self.requests[key].stage = RequestStage::Waiting;
             self.delete_claim(key, effects);
             self.remove_request(key);
             return;
--- a/components/decisions/src/host/callers.rs
+++ b/components/decisions/src/host/callers.rs
@@ -13,7 +13,6 @@
 use crate::request::RefusalOutcome;
 use crate::request::RefusalReason;
 use crate::request::RequestKey;
-use crate::request::RequestRepeat;
 use crate::request::RequestTarget;
 use crate::request::RequestTicket;
 use crate::time::Moment;
@@ -53,6 +52,9 @@
             effects.push(HostEffect::Refuse(request.ticket, refusal));
             return;
         }
+        let Some((quota, asked)) = self.check_quota(now, &request, effects) else {
+            return;
+        };
         *self.open_by_caller.entry(request.caller).or_default() += 1;
         if let RequestTarget::Asset(asset) = request.target {
             let tokens = request.terms.as_ref().map_or(0, |terms| terms.prompt.input);
@@ -61,7 +63,6 @@
         }
         let rank = request.rank(&self.catalog, rank);
         let deadline = now.after(request.deadline.unwrap_or(default_deadline));
-        let keyed = matches!(request.repeat, RequestRepeat::Keyed(_));
         let record = RequestRecord {
             ticket: request.ticket,
             target: request.target,
@@ -69,13 +70,14 @@
             rank,
             arrived: now,
             deadline,
-            stage: if keyed { RequestStage::Claiming } else { RequestStage::Waiting },
+            stage: RequestStage::Asking,
             attempts: 0,
             settled: false,
             may_have_run: false,
             claim: None,
             caller: request.caller,
             account: request.account,
+            quota,
             terms: request.terms,
             runs: 0,
             tried: Vec::new(),
@@ -88,11 +90,9 @@
         let key = self.requests.insert(record);
         self.tickets.insert(request.ticket, key);
         self.deadlines.insert((deadline, key));
-        self.bind_taken_up(now, key, effects);
-        if keyed {
-            self.write_claim(key, 0, effects);
-        } else {
-            self.enqueue(now, key, effects);
+        match asked {
+            Some(cost) => self.ask_quota(now, key, cost),
+            None => self.begin_request(now, key, effects),
         }
     }
 
@@ -235,6 +235,7 @@
         let cancellable = request.is_cancellable();
         let deadline = request.deadline;
         match request.stage {
+            RequestStage::Asking => self.remove_request(key),
             // The reply to the pending claim triggers the cleanup.
             RequestStage::Claiming => {}
             RequestStage::Waiting => {
@@ -257,6 +258,7 @@
     /// Removes a request and its index entries, except its place in the queue.
     pub(super) fn remove_request(&mut self, key: RequestKey) {
         if let Some(request) = self.requests.remove(key) {
+            self.quota_request_removed(self.last_event, &request);
             if let Some(open) = self.open_by_caller.get_mut(&request.caller) {
                 *open -= 1;
                 if *open == 0 {
@@ -310,7 +312,9 @@
                     (RefusalOutcome::Unknown, RefusalReason::EarlierCall)
                 }
                 RequestStage::Claiming => (RefusalOutcome::NotRun, RefusalReason::LedgerAway),
-                RequestStage::Waiting => (RefusalOutcome::NotRun, RefusalReason::DeadlinePassed),
+                RequestStage::Asking | RequestStage::Waiting => {
+                    (RefusalOutcome::NotRun, RefusalReason::DeadlinePassed)
+                }
                 RequestStage::Dispatched(_) | RequestStage::Streaming(_) => {
                     (RefusalOutcome::Unknown, RefusalReason::DeadlinePassed)
                 }
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -224,6 +224,7 @@
         }
         self.tracker.record_dispatch(upstream);
         self.limits.record_dispatch(now, upstream);
+        self.quota_dispatched(now, key);
         *self.running.entry(target).or_default() += 1;
         let subject = self.target_name(target);
         let asset = match target {
--- a/components/decisions/src/host/mod.rs
+++ b/components/decisions/src/host/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod callers;
 mod calls;
+mod configuration;
 mod crashes;
 mod dispatch;
 mod limits;
@@ -12,6 +13,8 @@
 mod peer_sync;
 mod permits;
 mod quarantine;
+mod quota_exchange;
+mod quotas;
 mod refusals;
 mod registry;
 mod scope;
--- a/components/decisions/src/host/peer_sync.rs
+++ b/components/decisions/src/host/peer_sync.rs
@@ -5,6 +5,7 @@
 use crate::identity::HostIdentity;
 use crate::message::TableAck;
 use crate::time::Moment;
+use crate::timing::TimingRules;
 
 /// Time after which a message without confirmation counts as lost.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
@@ -126,6 +127,8 @@
     pub limit_report: u64,
     /// The same if that report named limits, else 0.
     pub limit_ack: u64,
+    /// Version of the states of quotas that it was last sent, and when.
+    pub quotas_sent: (u64, Moment),
 }
 
 impl PeerSync {
@@ -138,6 +141,23 @@
             || ((behind || self.dirty) && waited >= pause)
     }
 
+    /// Whether a message to a host of the leader's scope is due. `is_behind` and `lacks_entries` are set
+    /// if there are unsent changes of replicas and of registered upstreams.
+    pub fn is_notice_due(
+        &self,
+        now: Moment,
+        timing: &TimingRules,
+        is_behind: bool,
+        lacks_entries: bool,
+    ) -> bool {
+        let waited = now.since(self.sent_at);
+        let is_urgent = self.dirty || lacks_entries;
+        self.sent_at == Moment::default()
+            || waited >= timing.heartbeat
+            || (is_urgent && waited >= timing.notice_pause)
+            || (is_behind && waited >= timing.notice_idle)
+    }
+
     /// Sets the process that sent a message, and resets the state if it is a new one.
     pub fn observe_process(&mut self, from: &HostIdentity) {
         if self.identity.as_ref() != Some(from) {
--- a/components/decisions/src/host/refusals.rs
+++ b/components/decisions/src/host/refusals.rs
@@ -89,6 +89,7 @@
         RefusalReason::TooLate => "no replica can be ready in time",
         RefusalReason::QueueFull => "queue is full",
         RefusalReason::CallerLimit => "too many requests of this caller",
+        RefusalReason::AccountQuota => "quota of its account is used up",
         RefusalReason::UpstreamLimit => "limits of its upstreams are used up",
         RefusalReason::Quarantined => "its prompt crashes upstreams",
         RefusalReason::UnknownOrigin => "the software version of its stream is not known",
@@ -107,6 +108,7 @@
 /// Log value `reason` of an abandoned request.
 pub(super) fn stage_text(stage: RequestStage) -> &'static str {
     match stage {
+        RequestStage::Asking => "waited for the quota of its account",
         RequestStage::Claiming => "waited for the ledger",
         RequestStage::Waiting => "waited for an upstream",
         RequestStage::Dispatched(_) => "waited for an answer",
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -16,11 +16,11 @@
 use crate::message::StoreView;
 use crate::message::StoredLease;
 use crate::message::TableUpdate;
+use crate::quota::QuotaTable;
 use crate::request::RequestTarget;
 use crate::routing::TableRange;
 use crate::routing::UpdateOutcome;
 use crate::time::Moment;
-use crate::timing::TimingRules;
 
 use super::peer_sync::PeerSync;
 use super::peer_sync::UpdateBase;
@@ -71,9 +71,10 @@
     ) {
         let (table, version) = (self.view.id(), self.view.version(TableRange::AllScopes));
         let directory = &self.registered_upstreams;
+        let has_authority = self.lease.authority(now).is_some();
         // Hosts with the same base versions of both tables get the same message, unless they reported
         // limits.
-        let mut groups: BTreeMap<(UpdateBase, UpdateBase, u64), Vec<HostIdentity>> =
+        let mut groups: BTreeMap<(UpdateBase, UpdateBase, u64, bool), Vec<HostIdentity>> =
             BTreeMap::new();
         for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
             let sync = match self.member_syncs.get_mut(&identity.name) {
@@ -90,7 +91,7 @@
             let is_behind = sync.replicas.is_behind(now, table, version);
             // All hosts must soon learn of upstreams that are shutting down or were removed.
             let lacks_entries = sync.registry.is_behind(now, directory.id(), directory.version());
-            if !is_notice_due(now, &self.timing, sync, is_behind, lacks_entries) {
+            if !sync.is_notice_due(now, &self.timing, is_behind, lacks_entries) {
                 continue;
             }
             let replicas = sync.replicas.next_base(now, table);
@@ -99,11 +100,16 @@
             sync.registry.record_sent(now, directory.version());
             sync.sent_at = now;
             sync.dirty = false;
-            let group = groups.entry((replicas, registry, sync.limit_ack)).or_default();
+            let limit_ack = sync.limit_ack;
+            let has_quotas = self.quotas.record_table_sent(now, has_authority, sync);
+            let group = groups.entry((replicas, registry, limit_ack, has_quotas)).or_default();
             group.push(identity.clone());
         }
-        for ((replicas, registry, limit_ack), receivers) in groups {
-            let notice = self.build_leader_notice(now, replicas, registry, limit_ack);
+        for ((replicas, registry, limit_ack, has_quotas), receivers) in groups {
+            let mut notice = self.build_leader_notice(now, replicas, registry, limit_ack);
+            if has_quotas {
+                notice.quota = self.quota_table(now);
+            }
             let message = Box::new(PeerMessage::Leader(notice));
             effects.push(HostEffect::Broadcast(receivers, message));
         }
@@ -144,6 +150,7 @@
             declined: declined.collect(),
             limits: self.limit_table(now, limit_ack),
             quarantine: self.quarantine_table(now, true),
+            quota: QuotaTable::default(),
             hosts: self.host_count().unwrap_or(0) as u32,
             lease: self.lease.stored(),
             store: StoreView {
@@ -169,7 +176,7 @@
             return;
         };
         let (pause, heartbeat) = (self.timing.notice_pause, self.timing.heartbeat);
-        let usage_due = !self.unreported_usage.is_empty()
+        let usage_due = (!self.unreported_usage.is_empty() || self.quotas.ledger.has_news(now))
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         // The leader's heartbeat shows that it is alive, so idle hosts can send less often.
         let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
@@ -204,6 +211,7 @@
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
             crash_report,
+            quota: self.quotas.ledger.report(now, false),
             leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
             draining: self.is_draining(),
         };
@@ -257,6 +265,7 @@
         self.apply_update(now, &scope, TableRange::AllScopes, &notice.update, effects);
         self.apply_limit_table(now, &from, &notice.limits, effects);
         self.apply_quarantine_table(now, &from, &notice.quarantine, effects);
+        self.apply_quota_table(now, notice.epoch, &notice.quota);
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
@@ -391,23 +400,7 @@
         });
         self.handle_limit_report(now, &from, &notice.limits, effects);
         self.handle_crash_report(now, &from, &notice.crash_report, effects);
+        self.handle_quota_report(now, &from, notice.epoch, &notice.quota);
         self.plan(now, effects);
     }
 }
-
-/// Whether a message to a host of the leader's scope is due. `is_behind` and `lacks_entries` are set
-/// if there are unsent changes of replicas and of registered upstreams.
-fn is_notice_due(
-    now: Moment,
-    timing: &TimingRules,
-    sync: &PeerSync,
-    is_behind: bool,
-    lacks_entries: bool,
-) -> bool {
-    let waited = now.since(sync.sent_at);
-    let is_urgent = sync.dirty || lacks_entries;
-    sync.sent_at == Moment::default()
-        || waited >= timing.heartbeat
-        || (is_urgent && waited >= timing.notice_pause)
-        || (is_behind && waited >= timing.notice_idle)
-}
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -58,6 +58,7 @@
 use super::peer_leaders::PeerLeader;
 use super::peer_sync::PeerSync;
 use super::quarantine::HostQuarantine;
+use super::quota_exchange::HostQuotas;
 use super::software::HostSoftware;
 use super::usage::UsageCounts;
 
@@ -105,6 +106,7 @@
     pub(super) view: ReplicaView,
     pub(super) tracker: UpstreamTracker,
     pub(super) limits: HostLimits,
+    pub(super) quotas: HostQuotas,
     pub(super) crashes: CrashObserver,
     pub(super) quarantine: HostQuarantine,
     pub(super) software: HostSoftware,
@@ -201,6 +203,7 @@
             view: ReplicaView::new(table_seed),
             tracker: UpstreamTracker::default(),
             limits: HostLimits::new(now, table_seed),
+            quotas: HostQuotas::default(),
             crashes: CrashObserver::default(),
             quarantine: HostQuarantine::default(),
             software: HostSoftware::default(),
@@ -258,6 +261,7 @@
         self.detect_freeze(now);
         self.handle_event(now, event, effects);
         self.allocate_permits(now, effects);
+        self.exchange_quotas(now, effects);
         // Other hosts may be waiting for these changes: sends them without waiting for a tick.
         let changed = self.view.version(TableRange::AllScopes) != self.notified_version;
         if self.leader_sync.dirty || self.notices_due || (changed && self.placement.is_some()) {
@@ -358,6 +362,7 @@
         if now.since(self.last_event) >= FREEZE_THRESHOLD {
             self.resumed_at = now;
             self.limits.permits.expire_all();
+            self.quota_resumed(now);
             self.dispatch_not_before = now.after(HOST_LIST_WAIT_AFTER_FREEZE);
         }
         self.last_event = now;
@@ -420,6 +425,12 @@
             PeerMessage::Entries(rows) => self.handle_entries(now, &from, &rows, effects),
             PeerMessage::Digest(digest) => self.handle_digest(now, from, digest, effects),
             PeerMessage::Permit(grant) => self.handle_permit_grant(now, &from, &grant, effects),
+            PeerMessage::QuotaAsk(report) => {
+                self.handle_quota_report(now, &from, report.epoch, &report);
+            }
+            PeerMessage::QuotaAnswer(answer) => {
+                self.handle_quota_answer(now, &from, &answer, effects);
+            }
             PeerMessage::LeaderHint { leader } => self.handle_leader_hint(leader),
             PeerMessage::LeaseReleased { epoch } => self.handle_lease_released(&from, epoch),
             PeerMessage::PromiseRequest { epoch, version, round } => {
@@ -610,6 +621,7 @@
         self.placement = held_epoch.map(|epoch| PlacementState::new(now, epoch));
         self.report_recent_usage(now);
         self.limit_leadership_changed(now, held_epoch.is_some(), effects);
+        self.quota_leadership_changed(now, held_epoch.is_some());
         self.quarantine_leadership_changed(now, held_epoch.is_some());
         self.software_leadership_changed(now);
         if let Some(epoch) = held_epoch {
@@ -652,24 +664,6 @@
         &self.configuration_origin
     }
 
-    fn log_rejected_offer(
-        &self,
-        from: &HostIdentity,
-        base: u64,
-        revision: u64,
-        effects: &mut Vec<HostEffect>,
-    ) {
-        effects.push(HostEffect::LogDecision(DecisionRecord {
-            kind: DecisionKind::Offer,
-            ticket: None,
-            subject: "configuration".to_owned(),
-            choice: format!("revision {}", self.catalog.revision),
-            reason: "the offered changes do not fit the revision in force",
-            alternatives: 0,
-            inputs: format!("offered={revision} base={base} from={}", from.name),
-        }));
-    }
-
     /// Records that a configuration came into force, which `source` sent: a host, or the key-value
     /// service.
     fn configuration_changed(&mut self, now: Moment, source: &str, effects: &mut Vec<HostEffect>) {
@@ -688,6 +682,7 @@
         self.reapply_engine_reports(now, effects);
         self.view.drop_unknown(&self.catalog);
         self.refuse_removed(effects);
+        self.refresh_quotas(now);
         self.inventory_changed(now, effects);
         self.leader_sync.dirty = true;
         self.notices_due = true;
--- a/components/decisions/src/host/status.rs
+++ b/components/decisions/src/host/status.rs
@@ -51,6 +51,9 @@
     pub memory_reserved: u64,
     /// Total memory of its scope's engines, in bytes; 0 if it does not lead.
     pub memory_total: u64,
+    /// Names of the accounts of which every request needs the leader, as far as the host knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub metered: Vec<String>,
     /// All replicas that the host knows of, in all zones.
     pub replicas: Vec<ReplicaStatus>,
 }
@@ -83,6 +86,7 @@
             unrecorded: self.ledger.unrecorded(),
             memory_reserved,
             memory_total,
+            metered: self.quotas.metered(),
             replicas: self.replica_statuses(),
         }
     }
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -15,8 +15,16 @@
 use crate::ledger::LedgerVerdict;
 use crate::limits::LimitPhase;
 use crate::limits::RequestRate;
+use crate::quota::QuotaAnswer;
+use crate::quota::QuotaReport;
+use crate::quota::QuotaTable;
 use crate::request::LedgerKey;
 
+pub use crate::quarantine::CrashReport;
+pub use crate::quarantine::CrashRow;
+pub use crate::quarantine::QuarantineRow;
+pub use crate::quarantine::QuarantineTable;
+
 /// Version of the message format; a host rejects any other.
 pub const MESSAGE_VERSION: u32 = 1;
 
@@ -215,73 +223,6 @@
     }
 }
 
-/// Requests with all of these prompt parts crash upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineRow {
-    /// The parts.
-    #[serde(rename = "p")]
-    pub parts: Vec<u64>,
-    /// Time until the end of the quarantine, in milliseconds; 0 if it was lifted.
-    #[serde(rename = "l")]
-    pub left_ms: u64,
-}
-
-/// Quarantined prompt parts, as a leader publishes them.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct QuarantineTable {
-    /// Rules in force, and those that were lifted a short time ago.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub rows: Vec<QuarantineRow>,
-    /// Parts that may crash upstreams. Hosts that know one to be sound report that.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
-    pub suspects: Vec<u64>,
-}
-
-impl QuarantineTable {
-    /// Whether there is nothing to publish.
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty() && self.suspects.is_empty()
-    }
-}
-
-/// Crash of a process, and what it had just begun to work on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRow {
-    /// Name of the upstream.
-    #[serde(rename = "u")]
-    pub upstream: String,
-    /// When the upstream's process started, by its own clock; 0 if that is not known.
-    #[serde(rename = "b")]
-    pub started_ms: u64,
-    /// Time since the crash was seen, in milliseconds.
-    #[serde(rename = "a")]
-    pub age_ms: u64,
-    /// Prompt parts of the requests that it had just begun to work on.
-    #[serde(rename = "p")]
-    pub parts: Vec<u64>,
-}
-
-/// What a host reports about crashes of upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Crashes that the receiver may not know.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashRow>,
-    /// Published suspects that the sender knows to be sound.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
-    pub sound: Vec<u64>,
-    /// Rules that the receiver did not publish.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub rules: Vec<QuarantineRow>,
-}
-
-impl CrashReport {
-    /// Whether there is nothing to report.
-    pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty() && self.rules.is_empty()
-    }
-}
-
 /// Permits for requests to a limited upstream. They expire soon after the report that asked for
 /// them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -325,6 +266,9 @@
     /// Prompt parts that crash upstreams.
     #[serde(rename = "q", default, skip_serializing_if = "QuarantineTable::is_empty")]
     pub quarantine: QuarantineTable,
+    /// States of accounts with quotas; the default if they are as they were.
+    #[serde(rename = "a", default, skip_serializing_if = "QuotaTable::is_empty")]
+    pub quota: QuotaTable,
     /// Number of entry hosts that the leader knows of, itself included; 0 if it has no host list.
     #[serde(rename = "n", default)]
     pub hosts: u32,
@@ -392,6 +336,9 @@
     /// Crashes of upstreams.
     #[serde(rename = "crashes", default, skip_serializing_if = "CrashReport::is_empty")]
     pub crash_report: CrashReport,
+    /// Use of the quotas of accounts.
+    #[serde(default, skip_serializing_if = "QuotaReport::is_empty")]
+    pub quota: QuotaReport,
     /// Upstreams that said that they are leaving, though their entries do not.
     #[serde(rename = "departing", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<ProcessRow>,
@@ -498,6 +445,10 @@
     },
     /// A leader grants a host permits for requests to a limited upstream.
     Permit(PermitGrant),
+    /// A host asks its leader about requests of accounts with quotas.
+    QuotaAsk(QuotaReport),
+    /// A leader answers such questions.
+    QuotaAnswer(QuotaAnswer),
     /// Requests the configuration if the receiver's is newer.
     #[serde(rename = "ConfigurationAsk")]
     ConfigurationRequest {
--- a/components/decisions/src/quarantine/mod.rs
+++ b/components/decisions/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 
 mod crash_log;
 mod judge;
+mod message;
 mod record;
 mod rules;
 mod sound;
@@ -15,6 +16,10 @@
 pub use crash_log::CrashRecord;
 pub use crash_log::QUARANTINE_TIME;
 pub use judge::CrashJudge;
+pub use message::CrashReport;
+pub use message::CrashRow;
+pub use message::QuarantineRow;
+pub use message::QuarantineTable;
 pub use record::QUARANTINE_KEY;
 pub use record::QuarantineRecord;
 pub use rules::QuarantineRule;
--- a/components/decisions/src/quota/allocator.rs
+++ b/components/decisions/src/quota/allocator.rs
@@ -381,9 +381,8 @@
         QuotaTable { grants, rows: self.accounts.iter().filter_map(row).collect() }
     }
 
-    /// Names of the metered accounts.
-    pub fn metered(&self) -> impl Iterator<Item = &str> + '_ {
-        let metered = self.accounts.iter().filter(|(_, account)| account.metered);
-        metered.map(|(name, _)| name.as_str())
+    /// Whether requests wait for an answer.
+    pub fn has_questions(&self) -> bool {
+        !self.answers.is_empty() || self.accounts.values().any(|account| !account.asks.is_empty())
     }
 }
--- a/components/decisions/src/quota/ledger.rs
+++ b/components/decisions/src/quota/ledger.rs
@@ -81,11 +81,6 @@
 }
 
 impl QuotaLedger {
-    /// Whether no account with a quota has been used so far.
-    pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
-
     /// Whether this host decides alone, because no leader answers.
     pub fn is_alone(&self) -> bool {
         !self.leader_grants || self.is_leader_lost
@@ -146,9 +141,12 @@
         account.level.take(cost as f64, -(cost as f64));
     }
 
-    /// Returns the tokens of an admitted request that never ran.
-    pub fn return_tokens(&mut self, now: Moment, account: &str, cost: u64) {
-        self.record_sent(account, cost);
+    /// Returns the tokens of an admitted request that never ran. `was_sent` is set if it was sent and an
+    /// upstream turned it away.
+    pub fn return_tokens(&mut self, now: Moment, account: &str, cost: u64, was_sent: bool) {
+        if !was_sent {
+            self.record_sent(account, cost);
+        }
         self.return_granted(now, account, cost);
     }
 
@@ -263,7 +261,14 @@
         }
     }
 
-    /// Records that this host follows no leader.
+    /// Records a notice of the leader of this term without states: it lives, or it is a new one that does
+    /// not answer yet.
+    pub fn hear_leader(&mut self, epoch: u64) {
+        self.leader_grants &= self.leader == Some(epoch);
+        self.is_leader_lost &= self.leader != Some(epoch);
+    }
+
+    /// Records that this host follows no leader that answers.
     pub fn forget_leader(&mut self) {
         self.leader_grants = false;
     }
--- a/components/decisions/src/quota/message.rs
+++ b/components/decisions/src/quota/message.rs
@@ -14,10 +14,10 @@
     #[serde(rename = "u")]
     pub used: u64,
     /// Tokens of requests that were admitted by the host or the leader and never ran, in total.
-    #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "r", default)]
     pub returned: u64,
     /// Tokens of admitted requests that wait for an upstream now.
-    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "w", default)]
     pub waiting: u64,
 }
 
@@ -121,7 +121,3 @@
         !self.grants && self.rows.is_empty()
     }
 }
-
-fn is_zero(tokens: &u64) -> bool {
-    *tokens == 0
-}
--- a/components/decisions/src/request.rs
+++ b/components/decisions/src/request.rs
@@ -167,6 +167,8 @@
     QueueFull,
     /// The caller has reached its limit of waiting requests on this host.
     CallerLimit,
+    /// The quota of the caller's account is used up.
+    AccountQuota,
     /// The upstreams that could serve the request have limits that are used up until the deadline.
     UpstreamLimit,
     /// Its prompt has a part that crashes upstreams.
--- a/components/decisions/tests/lapsed_entries.rs
+++ b/components/decisions/tests/lapsed_entries.rs
@@ -33,6 +33,7 @@
 use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::request::RecordedAnswer;
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTarget;
@@ -461,6 +462,7 @@
         declined: Vec::new(),
         limits,
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 2,
         lease: None,
         store: StoreView::default(),
--- a/components/decisions/tests/leaders.rs
+++ b/components/decisions/tests/leaders.rs
@@ -17,6 +17,7 @@
 use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::StoredLease;
 use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::quota::QuotaTable;
 
 const INVENTORY: &str = r#"
 [[class]]
@@ -109,6 +110,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 0,
         lease,
         store: StoreView::default(),
--- a/components/decisions/tests/limits.rs
+++ b/components/decisions/tests/limits.rs
@@ -36,6 +36,7 @@
 use wagtailledge_decisions::message::TableUpdate;
 use wagtailledge_decisions::message::WaitRow;
 use wagtailledge_decisions::order::OrderKind;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::request::RefusalOutcome;
 use wagtailledge_decisions::request::RefusalReason;
 use wagtailledge_decisions::request::RequestRepeat;
@@ -150,6 +151,7 @@
         declined: Vec::new(),
         limits,
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 0,
         lease: None,
         store: StoreView::default(),
--- a/components/decisions/tests/quarantine.rs
+++ b/components/decisions/tests/quarantine.rs
@@ -34,6 +34,8 @@
 use wagtailledge_decisions::quarantine::CrashLog;
 use wagtailledge_decisions::quarantine::QUARANTINE_KEY;
 use wagtailledge_decisions::quarantine::QUARANTINE_TIME;
+use wagtailledge_decisions::quota::QuotaReport;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::request::PromptShape;
 use wagtailledge_decisions::request::RefusalOutcome;
 use wagtailledge_decisions::request::RefusalReason;
@@ -284,6 +286,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         quarantine,
+        quota: QuotaTable::default(),
         hosts: 0,
         lease: None,
         store: StoreView::default(),
@@ -377,6 +380,7 @@
         suspects: Vec::new(),
         limits: LimitReport::default(),
         crash_report,
+        quota: QuotaReport::default(),
         leaving: Vec::new(),
         draining: false,
     };
--- a/components/decisions/tests/quota/fleet.rs
+++ b/components/decisions/tests/quota/fleet.rs
@@ -162,6 +162,7 @@
         self.leader = None;
     }
 
+    #[allow(dead_code, reason = "used by the next tests")]
     pub fn set_rate(&mut self, account: usize, rate: u64) {
         self.accounts[account].rate = rate;
         let (now, limits) = (self.moment(), self.limits());
--- a/components/decisions/tests/store_views.rs
+++ b/components/decisions/tests/store_views.rs
@@ -18,6 +18,7 @@
 use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::request::RequestRepeat;
 use wagtailledge_decisions::request::RequestTarget;
 
@@ -83,6 +84,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 0,
         lease: None,
         store,
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -35,6 +35,8 @@
 use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::quota::QuotaReport;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::request::CallerRequest;
 use wagtailledge_decisions::request::RefusalOutcome;
 use wagtailledge_decisions::request::RefusalReason;
@@ -145,6 +147,7 @@
             declined: Vec::new(),
             limits: LimitTable::default(),
             quarantine: QuarantineTable::default(),
+            quota: QuotaTable::default(),
             hosts: 0,
             lease: None,
             store: StoreView::default(),
@@ -190,6 +193,7 @@
             suspects: Vec::new(),
             limits: LimitReport { number: self.now.0, wants: vec![want], ..LimitReport::default() },
             crash_report: CrashReport::default(),
+            quota: QuotaReport::default(),
             leaving: Vec::new(),
             draining: false,
         };
--- a/components/decisions/tests/table_sync.rs
+++ b/components/decisions/tests/table_sync.rs
@@ -25,6 +25,8 @@
 use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableAck;
 use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::quota::QuotaReport;
+use wagtailledge_decisions::quota::QuotaTable;
 
 /// Inventory with one service whose engines register themselves.
 const INVENTORY: &str = r#"
@@ -62,6 +64,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 0,
         lease: None,
         store: StoreView::default(),
@@ -121,6 +124,7 @@
             used: Vec::new(),
             suspects: Vec::new(),
             limits: LimitReport::default(),
+            quota: QuotaReport::default(),
             leaving: Vec::new(),
             draining: false,
             crash_report: CrashReport::default(),
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -11,6 +11,7 @@
 use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::order::EngineOrder;
 use wagtailledge_decisions::order::OrderOutcome;
+use wagtailledge_decisions::request::RefusalReason;
 use wagtailledge_decisions::request::RequestTicket;
 use wagtailledge_decisions::store::StoreCall;
 use wagtailledge_decisions::store::StoreOutcome;
@@ -42,6 +43,9 @@
             HostEffect::Forward { ticket, .. } => self.forward_stream(ticket),
             HostEffect::Answer(ticket, answer) => self.reply(ticket, CallerReply::Answer(*answer)),
             HostEffect::Refuse(ticket, refusal) => {
+                if refusal.reason == RefusalReason::AccountQuota {
+                    self.parts.metrics.count("quota.refused");
+                }
                 self.reply(ticket, CallerReply::Refusal(refusal));
             }
             HostEffect::Cancel(ticket, attempt) => self.cancel_attempt(ticket, attempt),
@@ -88,6 +92,9 @@
     }
 
     fn send_message(&self, receivers: &[HostIdentity], message: PeerMessage) {
+        if let PeerMessage::QuotaAsk(report) = &message {
+            report.asks.iter().for_each(|_| self.parts.metrics.count("quota.asked"));
+        }
         let envelope =
             PeerEnvelope { version: MESSAGE_VERSION, from: self.identity.clone(), message };
         let addresses = receivers.iter().map(|receiver| receiver.address.as_str());
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -53,6 +53,7 @@
         DecisionKind::Health => "health",
         DecisionKind::Limit => "limit",
         DecisionKind::Permit => "permit",
+        DecisionKind::Quota => "quota",
         DecisionKind::Quarantine => "quarantine",
         DecisionKind::Software => "software",
         DecisionKind::Register => "register",
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 24] = [
+pub const METRIC_NAMES: [&str; 27] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -25,6 +25,7 @@
     "decision.limit",
     "decision.permit",
     "decision.quarantine",
+    "decision.quota",
     "decision.software",
     "decision.register",
     "request.time",
@@ -34,6 +35,8 @@
     "answer.broken_at_start",
     "order.not_sent",
     "store.failed",
+    "quota.asked",
+    "quota.refused",
     "peer.messages",
     "peer.bytes",
     "configuration.revision",
--- a/components/frontend/src/respond.rs
+++ b/components/frontend/src/respond.rs
@@ -122,13 +122,17 @@
     let status = match (refusal.outcome, refusal.reason) {
         (RefusalOutcome::InProgress | RefusalOutcome::Ran, _) => StatusCode::CONFLICT,
         (_, RefusalReason::KeyReused) => StatusCode::UNPROCESSABLE_ENTITY,
-        (_, RefusalReason::QueueFull | RefusalReason::CallerLimit) => StatusCode::TOO_MANY_REQUESTS,
+        (
+            _,
+            RefusalReason::QueueFull | RefusalReason::CallerLimit | RefusalReason::AccountQuota,
+        ) => StatusCode::TOO_MANY_REQUESTS,
         (_, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
         (_, RefusalReason::UpstreamFailed) => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     let outcome = json!(refusal.outcome);
-    let seconds = refusal.retry_after.as_secs().max(1);
+    // Rounded up, so that the request can be served by then.
+    let seconds = refusal.retry_after.as_secs_f64().ceil().max(1.0) as u64;
     let error = json!({
         "message": format!("refused: {:?}", refusal.reason),
         "type": "refused",
