--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -13,7 +13,7 @@
 use crate::scrape::TextSink;
 
 /// Names of all metrics; `docs/METRICS.md` lists the same.
-pub const METRIC_NAMES: [&str; 27] = [
+pub const METRIC_NAMES: [&str; 28] = [
     "decision.route",
     "decision.refuse",
     "decision.abandon",
@@ -31,6 +31,7 @@
     "request.time",
     "request.waiting",
     "request.open",
+    "account.unknown_key",
     "answer.truncated",
     "answer.broken_at_start",
     "order.not_sent",
