--- a/components/decisions/src/host/quota_exchange.rs
+++ b/components/decisions/src/host/quota_exchange.rs
@@ -37,6 +37,8 @@
 const UNKNOWN_HOSTS: usize = 2_000;
 /// Interval at which a leader looks at its buckets without a request of a host.
 const LEADER_INTERVAL: Duration = Duration::from_millis(50);
+/// The same while requests wait for tokens; a tick.
+const GRANT_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which a leader repeats the published states to a host: a lost notice costs little, as hosts
 /// ask for what their own buckets do not cover.
 const TABLE_INTERVAL: Duration = Duration::from_secs(2);
@@ -197,7 +199,7 @@
             let report = if report.epoch == epoch { report } else { QuotaReport::default() };
             allocator.report(now, &self.me, &report);
         }
-        if !has_authority || !(is_check_due || allocator.has_questions()) {
+        if !has_authority || !(is_check_due || allocator.has_new_questions()) {
             if is_check_due {
                 self.quotas.ledger.forget_leader();
             }
@@ -205,8 +207,9 @@
         }
         let answers = allocator.decide(now, epoch);
         let changes = allocator.update_states(now);
+        let pause = if allocator.has_waiting() { GRANT_INTERVAL } else { LEADER_INTERVAL };
+        self.quotas.next_leader_check = now.after(pause);
         if is_check_due || !changes.is_empty() {
-            self.quotas.next_leader_check = now.after(LEADER_INTERVAL);
             let table = allocator.table(now, true);
             self.quotas.ledger.apply_table(now, epoch, &table);
         }
--- a/components/decisions/src/host/quotas.rs
+++ b/components/decisions/src/host/quotas.rs
@@ -24,6 +24,7 @@
 use crate::time::Moment;
 
 use super::refusals::reason_text;
+use super::state::DrainStage;
 use super::state::HostReducer;
 
 /// Part of a request's objective for which it may wait because of its quota.
@@ -43,6 +44,7 @@
         effects: &mut Vec<HostEffect>,
     ) -> Option<(QuotaStanding, Option<u64>)> {
         let account = request.account.and_then(|account| self.catalog.accounts.get(account));
+        let account = account.filter(|_| self.drain != DrainStage::Over);
         let Some((account, quota)) = account.and_then(|account| Some((account, account.quota?)))
         else {
             return Some((QuotaStanding::Free, None));
--- a/components/decisions/src/quota/allocator.rs
+++ b/components/decisions/src/quota/allocator.rs
@@ -200,13 +200,16 @@
         allocator
     }
 
-    /// Adds hosts that are in the scope now.
+    /// Adds hosts that are in the scope now, and forgets old answers.
     pub fn add_hosts<'n>(&mut self, now: Moment, names: impl Iterator<Item = &'n str>) {
         for name in names {
             if !self.hosts.contains_key(name) {
                 self.hosts.insert(name.to_owned(), HostRecord::unheard(now));
             }
         }
+        for host in self.hosts.values_mut() {
+            host.remove_expired(now);
+        }
     }
 
     /// Sets the accounts and their quotas. A lowered limit lowers the level in proportion.
@@ -363,9 +366,6 @@
     /// Changes the states of accounts by their levels, and returns those that changed.
     pub fn update_states(&mut self, now: Moment) -> Vec<QuotaChange> {
         self.advance(now);
-        for host in self.hosts.values_mut() {
-            host.remove_expired(now);
-        }
         let mut changes = Vec::new();
         for (name, account) in &mut self.accounts {
             let metered = account.wants_metering(now);
@@ -397,8 +397,13 @@
         QuotaTable { grants, rows: self.accounts.iter().filter_map(row).collect() }
     }
 
-    /// Whether requests wait for an answer.
-    pub fn has_questions(&self) -> bool {
-        !self.answers.is_empty() || self.accounts.values().any(|account| !account.asks.is_empty())
+    /// Whether questions have arrived that were not looked at.
+    pub fn has_new_questions(&self) -> bool {
+        !self.answers.is_empty()
+    }
+
+    /// Whether requests wait here for tokens.
+    pub fn has_waiting(&self) -> bool {
+        self.accounts.values().any(|account| !account.asks.is_empty())
     }
 }
