--- a/components/decisions/tests/quota/main.rs
+++ b/components/decisions/tests/quota/main.rs
@@ -134,6 +134,17 @@
     run_hot("frozen leader", 3, |fleet| fleet.freeze(0, 3 * SECOND));
 }
 
+#[test]
+fn can_keep_the_bound_with_a_leader_that_freezes_again_and_again() {
+    // Each time its buckets would fill up while the hosts use their shares.
+    run_hot("freezing leader", 1, |fleet| {
+        for _ in 0..4 {
+            fleet.freeze(0, 12 * SECOND / 10);
+            fleet.run(2.0);
+        }
+    });
+}
+
 #[test]
 fn can_keep_the_bound_with_frozen_hosts() {
     run_hot("frozen hosts", 3, |fleet| {
