--- a/components/decisions/src/quota/mod.rs
+++ b/components/decisions/src/quota/mod.rs
@@ -9,6 +9,7 @@
 mod account;
 mod allocator;
 mod bucket;
+mod buckets;
 mod hosts;
 mod ledger;
 mod limit;
