Merge quotas of accounts over all hosts

The leader of a scope holds a token bucket for each account with a quota; hosts admit small requests from a small bucket of their own and ask for the others. Without accounts nothing is sent or decided.

--- a/components/decisions/src/host/offers.rs
+++ b/components/decisions/src/host/configuration.rs
@@ -1,4 +1,4 @@
-//! Log records about configurations that other hosts offer.
+//! Log records of the exchange of configurations between hosts.
 
 use crate::effect::DecisionKind;
 use crate::effect::DecisionRecord;
@@ -8,7 +8,7 @@
 use super::state::HostReducer;
 
 impl HostReducer {
-    /// Logs that an offered configuration was rejected.
+    /// Logs that a configuration which another host offered does not fit the one in force.
     pub(super) fn log_rejected_offer(
         &self,
         from: &HostIdentity,
--- a/components/decisions/src/host/dispatch.rs
+++ b/components/decisions/src/host/dispatch.rs
@@ -257,6 +257,7 @@
         self.record_work(now, key, chosen);
         self.limits.record_dispatch(now, upstream);
         self.reach_dispatched(upstream);
+        self.quota_dispatched(now, key);
         *self.running.entry(target).or_default() += 1;
         let subject = self.target_name(target);
         let asset = match target {
--- a/components/decisions/src/host/peer_sync.rs
+++ b/components/decisions/src/host/peer_sync.rs
@@ -129,6 +129,8 @@
     pub limit_ack: u64,
     /// Highest stamp of this leader's notices that it has confirmed; 0 if none.
     pub stamp: u64,
+    /// Version of the states of quotas that it was last sent, and when.
+    pub quotas_sent: (u64, Moment),
 }
 
 impl PeerSync {
--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -15,6 +15,7 @@
 use crate::message::ProcessRow;
 use crate::message::StoredLease;
 use crate::message::TableUpdate;
+use crate::quota::QuotaTable;
 use crate::request::RequestTarget;
 use crate::routing::TableRange;
 use crate::routing::UpdateOutcome;
@@ -69,10 +70,11 @@
     ) {
         let (table, version) = (self.view.id(), self.view.version(TableRange::AllScopes));
         let directory = &self.registered_upstreams;
+        let has_authority = self.lease.authority(now).is_some();
         // Hosts with the same base versions of both tables get the same message, unless they reported
         // limits.
-        let mut groups: BTreeMap<(UpdateBase, UpdateBase, u64, u64), Vec<HostIdentity>> =
-            BTreeMap::new();
+        type Group = (UpdateBase, UpdateBase, u64, u64, bool);
+        let mut groups: BTreeMap<Group, Vec<HostIdentity>> = BTreeMap::new();
         for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
             let sync = match self.member_syncs.get_mut(&identity.name) {
                 Some(sync) => sync,
@@ -97,11 +99,16 @@
             sync.registry.record_sent(now, directory.version());
             sync.sent_at = now;
             sync.dirty = false;
-            let group = groups.entry((replicas, registry, sync.limit_ack, sync.stamp)).or_default();
-            group.push(identity.clone());
+            let (limit_ack, stamp) = (sync.limit_ack, sync.stamp);
+            let has_quotas = self.quotas.record_table_sent(now, has_authority, sync);
+            let group = (replicas, registry, limit_ack, stamp, has_quotas);
+            groups.entry(group).or_default().push(identity.clone());
         }
-        for ((replicas, registry, limit_ack, stamp), receivers) in groups {
-            let notice = self.build_leader_notice(now, replicas, registry, limit_ack, stamp);
+        for ((replicas, registry, limit_ack, stamp, has_quotas), receivers) in groups {
+            let mut notice = self.build_leader_notice(now, replicas, registry, limit_ack, stamp);
+            if has_quotas {
+                notice.quota = self.quota_table(now);
+            }
             let message = Box::new(PeerMessage::Leader(notice));
             effects.push(HostEffect::Broadcast(receivers, message));
         }
@@ -144,6 +151,7 @@
             declined: declined.collect(),
             limits: self.limit_table(now, limit_ack),
             quarantine: self.quarantine_table(now, true),
+            quota: QuotaTable::default(),
             hosts: self.host_count().unwrap_or(0) as u32,
             lease: self.lease.stored(),
             store: self.store_view(now, stamp),
@@ -167,7 +175,7 @@
             return;
         };
         let (pause, heartbeat) = (self.timing.notice_pause, self.timing.heartbeat);
-        let usage_due = !self.unreported_usage.is_empty()
+        let usage_due = (!self.unreported_usage.is_empty() || self.quotas.ledger.has_news(now))
             && now.since(self.leader_sync.sent_at) >= self.timing.notice_idle;
         // The leader's heartbeat shows that it is alive, so idle hosts can send less often.
         let limits_due = self.is_limit_report_due(now, self.leader_sync.sent_at);
@@ -200,6 +208,7 @@
             suspects: suspects.into_iter().filter_map(name_of).collect(),
             limits,
             crash_report,
+            quota: self.quotas.ledger.report(now, false),
             leaving: leaving.filter_map(|key| self.process_row(key)).collect(),
             draining: self.is_draining(),
             failures,
@@ -258,6 +267,7 @@
         self.apply_quarantine_table(now, &from, &notice.quarantine, effects);
         self.apply_outages(now, &notice.outages, effects);
         self.apply_relayed_view(now, &notice.store, notice.revision, effects);
+        self.apply_quota_table(now, notice.epoch, &notice.quota);
         self.request_newer_configuration(now, &from, notice.revision, effects);
     }
 
@@ -382,6 +392,7 @@
         self.handle_limit_report(now, &from, &notice.limits, effects);
         self.handle_crash_report(now, &from, &notice.crash_report, effects);
         self.handle_failures(now, &from, &notice.failures);
+        self.handle_quota_report(now, &from, notice.epoch, &notice.quota);
         self.plan(now, effects);
     }
 }
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -60,6 +60,7 @@
 use super::peer_leaders::PeerLeader;
 use super::peer_sync::PeerSync;
 use super::quarantine::HostQuarantine;
+use super::quota_exchange::HostQuotas;
 use super::reachability::HostReach;
 use super::software::HostSoftware;
 use super::usage::UsageCounts;
@@ -109,6 +110,7 @@
     pub(super) tracker: UpstreamTracker,
     pub(super) work: WorkTracker,
     pub(super) limits: HostLimits,
+    pub(super) quotas: HostQuotas,
     pub(super) crashes: CrashObserver,
     pub(super) quarantine: HostQuarantine,
     pub(super) software: HostSoftware,
@@ -208,6 +210,7 @@
             tracker: UpstreamTracker::default(),
             work: WorkTracker::default(),
             limits: HostLimits::new(now, table_seed),
+            quotas: HostQuotas::default(),
             crashes: CrashObserver::default(),
             quarantine: HostQuarantine::default(),
             software: HostSoftware::default(),
@@ -266,6 +269,7 @@
         self.detect_freeze(now);
         self.handle_event(now, event, effects);
         self.allocate_permits(now, effects);
+        self.exchange_quotas(now, effects);
         // Other hosts may be waiting for these changes: sends them without waiting for a tick.
         let changed = self.view.version(TableRange::AllScopes) != self.notified_version;
         if self.leader_sync.dirty || self.notices_due || (changed && self.placement.is_some()) {
@@ -357,6 +361,7 @@
             self.resumed_at = now;
             self.limits.permits.expire_all();
             self.reach_restart(now);
+            self.quota_resumed(now);
             self.dispatch_not_before = now.after(HOST_LIST_WAIT_AFTER_FREEZE);
         }
         self.last_event = now;
@@ -420,6 +425,12 @@
             PeerMessage::Entries(rows) => self.handle_entries(now, &from, &rows, effects),
             PeerMessage::Digest(digest) => self.handle_digest(now, from, digest, effects),
             PeerMessage::Permit(grant) => self.handle_permit_grant(now, &from, &grant, effects),
+            PeerMessage::QuotaAsk(report) => {
+                self.handle_quota_report(now, &from, report.epoch, &report);
+            }
+            PeerMessage::QuotaAnswer(answer) => {
+                self.handle_quota_answer(now, &from, &answer, effects);
+            }
             PeerMessage::LeaderHint { leader } => self.handle_leader_hint(leader),
             PeerMessage::LeaseReleased { epoch } => self.handle_lease_released(&from, epoch),
             PeerMessage::PromiseRequest { epoch, version, round } => {
@@ -612,6 +623,7 @@
         self.placement = held_epoch.map(|epoch| PlacementState::new(now, epoch));
         self.report_recent_usage(now);
         self.limit_leadership_changed(now, held_epoch.is_some(), effects);
+        self.quota_leadership_changed(now, held_epoch.is_some());
         self.quarantine_leadership_changed(now, held_epoch.is_some());
         self.reset_outages();
         self.software_leadership_changed(now);
@@ -673,6 +685,7 @@
         self.reapply_engine_reports(now, effects);
         self.view.drop_unknown(&self.catalog);
         self.refuse_removed(effects);
+        self.refresh_quotas(now);
         self.inventory_changed(now, effects);
         self.leader_sync.dirty = true;
         self.notices_due = true;
--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`reachability`]: zones and upstreams that cannot be reached.
 //! - [`software`]: software versions of upstreams, and which one began a stream.
 //! - [`limits`]: limits that upstreams set on the requests of all hosts together.
+//! - [`quota`]: quotas of accounts over all hosts.
 //! - [`retry`]: retry budget of a host.
 //! - [`ledger`]: records that prevent a non-idempotent call from running twice.
 //! - [`lease`]: election of the leader of a scope.
@@ -41,6 +42,7 @@
 pub mod order;
 pub mod placement;
 pub mod quarantine;
+pub mod quota;
 pub mod reachability;
 pub mod registry;
 pub mod relay;
--- a/components/decisions/src/message.rs
+++ b/components/decisions/src/message.rs
@@ -15,12 +15,17 @@
 use crate::ledger::LedgerVerdict;
 use crate::limits::LimitPhase;
 use crate::limits::RequestRate;
-pub use crate::quarantine::CrashReport;
-pub use crate::quarantine::CrashRow;
+use crate::quota::QuotaAnswer;
+use crate::quota::QuotaReport;
+use crate::quota::QuotaTable;
 use crate::reachability::FailureRow;
 use crate::reachability::OutageRow;
 use crate::request::LedgerKey;
 
+pub use crate::quarantine::CrashReport;
+pub use crate::quarantine::CrashRow;
+pub use crate::quarantine::QuarantineRow;
+pub use crate::quarantine::QuarantineTable;
 pub use crate::relay::RelayedView;
 pub use crate::relay::StoreView;
 
@@ -222,35 +227,6 @@
     }
 }
 
-/// Requests with all of these prompt parts crash upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineRow {
-    /// The parts.
-    #[serde(rename = "p")]
-    pub parts: Vec<u64>,
-    /// Time until the end of the quarantine, in milliseconds; 0 if it was lifted.
-    #[serde(rename = "l")]
-    pub left_ms: u64,
-}
-
-/// Quarantined prompt parts, as a leader publishes them.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct QuarantineTable {
-    /// Rules in force, and those that were lifted a short time ago.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub rows: Vec<QuarantineRow>,
-    /// Parts that may crash upstreams. Hosts that know one to be sound report that.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
-    pub suspects: Vec<u64>,
-}
-
-impl QuarantineTable {
-    /// Whether there is nothing to publish.
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty() && self.suspects.is_empty()
-    }
-}
-
 /// Permits for requests to a limited upstream. They expire soon after the report that asked for
 /// them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -294,6 +270,9 @@
     /// Prompt parts that crash upstreams.
     #[serde(rename = "q", default, skip_serializing_if = "QuarantineTable::is_empty")]
     pub quarantine: QuarantineTable,
+    /// States of accounts with quotas; the default if they are as they were.
+    #[serde(rename = "a", default, skip_serializing_if = "QuotaTable::is_empty")]
+    pub quota: QuotaTable,
     /// Number of entry hosts that the leader knows of, itself included; 0 if it has no host list.
     #[serde(rename = "n", default)]
     pub hosts: u32,
@@ -346,6 +325,9 @@
     /// Crashes of upstreams.
     #[serde(rename = "crashes", default, skip_serializing_if = "CrashReport::is_empty")]
     pub crash_report: CrashReport,
+    /// Use of the quotas of accounts.
+    #[serde(default, skip_serializing_if = "QuotaReport::is_empty")]
+    pub quota: QuotaReport,
     /// Upstreams that said that they are leaving, though their entries do not.
     #[serde(rename = "departing", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<ProcessRow>,
@@ -458,6 +440,10 @@
     },
     /// A leader grants a host permits for requests to a limited upstream.
     Permit(PermitGrant),
+    /// A host asks its leader about requests of accounts with quotas.
+    QuotaAsk(QuotaReport),
+    /// A leader answers such questions.
+    QuotaAnswer(QuotaAnswer),
     /// Requests the configuration if the receiver's is newer.
     #[serde(rename = "ConfigurationAsk")]
     ConfigurationRequest {
--- a/components/decisions/src/quarantine/notice.rs
+++ b/components/decisions/src/quarantine/message.rs
@@ -1,9 +1,36 @@
-//! Crashes of upstreams in messages between hosts.
+//! Messages about quarantined prompt parts and crashes.
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::message::QuarantineRow;
+/// Requests with all of these prompt parts crash upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRow {
+    /// The parts.
+    #[serde(rename = "p")]
+    pub parts: Vec<u64>,
+    /// Time until the end of the quarantine, in milliseconds; 0 if it was lifted.
+    #[serde(rename = "l")]
+    pub left_ms: u64,
+}
+
+/// Quarantined prompt parts, as a leader publishes them.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct QuarantineTable {
+    /// Rules in force, and those that were lifted a short time ago.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<QuarantineRow>,
+    /// Parts that may crash upstreams. Hosts that know one to be sound report that.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<u64>,
+}
+
+impl QuarantineTable {
+    /// Whether there is nothing to publish.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.suspects.is_empty()
+    }
+}
 
 /// Crash of a process, and what it had just begun to work on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/components/decisions/tests/reachability.rs
+++ b/components/decisions/tests/reachability.rs
@@ -18,6 +18,7 @@
 use wagtailledge_decisions::message::QuarantineTable;
 use wagtailledge_decisions::message::StoreView;
 use wagtailledge_decisions::message::TableUpdate;
+use wagtailledge_decisions::quota::QuotaTable;
 use wagtailledge_decisions::reachability::FailureRow;
 use wagtailledge_decisions::reachability::OutageRow;
 use wagtailledge_decisions::reachability::SharedFailures;
@@ -61,6 +62,7 @@
         declined: Vec::new(),
         limits: LimitTable::default(),
         quarantine: QuarantineTable::default(),
+        quota: QuotaTable::default(),
         hosts: 0,
         lease: None,
         store: StoreView::default(),
