Refuse fewer requests within their quota when the leader changes

A host without a leader may now also use its part of what was left unused of the rate of an account that was open, and a new leader begins with a part of the burst. Tests of quotas: 14 and 8 pass.

--- a/components/decisions/src/host/quota_exchange.rs
+++ b/components/decisions/src/host/quota_exchange.rs
@@ -26,9 +26,9 @@
 use super::peer_sync::PeerSync;
 use super::state::HostReducer;
 
-/// Tokens that an account's bucket holds besides the burst: two long prompts. Without it, an account
+/// Tokens that an account's bucket holds besides the burst: three long prompts. Without it, an account
 /// whose burst is a few prompts is refused some that arrive together. Part of the bound's allowance.
-const TOKEN_HEADROOM: u64 = 20_000;
+const TOKEN_HEADROOM: u64 = 30_000;
 /// The same for accounts whose quota counts requests.
 const REQUEST_HEADROOM: u64 = 4;
 /// Interval at which hosts, scopes and quotas are counted again.
--- a/components/decisions/src/quota/account.rs
+++ b/components/decisions/src/quota/account.rs
@@ -13,6 +13,11 @@
 const SHARE_BURST_TIME: Duration = Duration::from_secs(1);
 /// Least time between two starts of an account without a leader, each of which admits a little more.
 const START_INTERVAL: Duration = Duration::from_secs(30);
+/// Time over which a host without a leader may use its part of the rate that all hosts left unused, and the most
+/// of it as a time at the whole rate. Accounts that use half of their rate would else be refused whenever
+/// two requests reach a host in one second; what they left unused before makes up for it in the bound.
+const UNUSED_TIME: Duration = Duration::from_secs(2);
+const MAX_UNUSED_TIME: Duration = Duration::from_secs(1);
 /// Time for which changed use is reported again, because reports may be lost.
 const REPORT_TIME: Duration = Duration::from_secs(2);
 
@@ -67,6 +72,8 @@
     /// Share by which this host decides while no leader answers. Fixed at the start of that time: what the
     /// host uses then must not raise its share.
     lone_share: Option<f64>,
+    /// Tokens that this host may use beside its share while no leader answers: its part of what was unused.
+    lone_extra: f64,
 }
 
 impl AccountUse {
@@ -117,6 +124,13 @@
         self.waiting += cost;
     }
 
+    /// This host's part of the rate that all hosts left unused while the account was open.
+    fn unused_part(&self, query: &QuotaQuery<'_>) -> f64 {
+        let rate = query.limit.rate();
+        let unused = (rate - self.total_use).max(0.0) * UNUSED_TIME.as_secs_f64();
+        unused.min(rate * MAX_UNUSED_TIME.as_secs_f64()) / query.hosts.max(1) as f64
+    }
+
     /// Decides by this host's share. Hosts with a share far below one request start at levels that are
     /// spread evenly between zero and the cost, so that together they admit the rate from the start.
     pub(super) fn admit_alone(&mut self, now: Moment, query: &QuotaQuery<'_>) -> QuotaDecision {
@@ -124,10 +138,14 @@
         let share = self.lone_share(now, query);
         let starts = self.started_at.is_none_or(|at| now.since(at) >= START_INTERVAL);
         self.largest = if starts { query.cost } else { self.largest.max(query.cost) };
-        let capacity = (share * SHARE_BURST_TIME.as_secs_f64()).max(self.largest as f64);
+        if starts {
+            self.lone_extra = if self.metered { 0.0 } else { self.unused_part(query) };
+        }
+        let share_burst = (share * SHARE_BURST_TIME.as_secs_f64()).max(self.largest as f64);
+        let capacity = share_burst + self.lone_extra;
         if starts {
             self.level.refill(now, share, query.limit.host_capacity(query.hosts));
-            self.level.add(query.position * cost, capacity);
+            self.level.add(query.position * cost + self.lone_extra, capacity);
         } else {
             self.level.refill(now, share, capacity);
         }
--- a/components/decisions/src/quota/buckets.rs
+++ b/components/decisions/src/quota/buckets.rs
@@ -57,11 +57,13 @@
 }
 
 impl AccountState {
-    /// Creates a metered account with an empty bucket: what hosts used before is not known here.
+    /// Creates a metered account with a part of the burst: what hosts used before is not known here.
     pub(super) fn new(now: Moment, limit: QuotaLimit) -> Self {
+        let mut level = TokenLevel::empty(now);
+        level.add(limit.first_level(), limit.capacity());
         Self {
             limit,
-            level: TokenLevel::empty(now),
+            level,
             promised: 0.0,
             use_rate: UseRate::default(),
             silent_rate: 0.0,
--- a/components/decisions/src/quota/limit.rs
+++ b/components/decisions/src/quota/limit.rs
@@ -5,6 +5,12 @@
 /// Share of the burst that the buckets of all hosts together hold, so that what they admit without the
 /// leader stays far below the burst.
 const HOST_BURST_SHARE: f64 = 0.25;
+/// Share of the burst with which a new leader begins, and the smaller one of accounts that are large beside the
+/// bound's allowance, together with a part of that. Callers would else be refused for seconds at each takeover.
+const FIRST_SHARE: f64 = 0.4;
+const LARGE_FIRST_SHARE: f64 = 0.1;
+/// The part of the allowance, as a multiple of the headroom.
+const FIRST_HEADROOMS: f64 = 2.0;
 /// Longest time that a caller is told to wait.
 pub(super) const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -42,6 +48,12 @@
         self.burst + self.headroom
     }
 
+    /// Level of the bucket of a new leader.
+    pub(super) fn first_level(&self) -> f64 {
+        let part = self.burst * LARGE_FIRST_SHARE + self.headroom * FIRST_HEADROOMS;
+        part.min(self.burst * FIRST_SHARE)
+    }
+
     /// Most tokens that the bucket of each of `hosts` hosts holds.
     pub(super) fn host_capacity(&self, hosts: usize) -> f64 {
         self.burst * HOST_BURST_SHARE / hosts.max(1) as f64
