--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -36,6 +36,10 @@
 /// a tenth of it.
 const SCAN_PAUSE_PER_HOST: Duration = Duration::from_micros(10);
 
+/// Hosts that get the same notice: base versions of both tables, confirmed report and stamp, and whether they
+/// get the states of quotas.
+type NoticeGroup = (UpdateBase, UpdateBase, u64, u64, bool);
+
 impl HostReducer {
     /// Sends due messages: as leader to the scope's hosts and to other scopes, else to the leader.
     pub(super) fn send_notices(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
@@ -73,8 +77,7 @@
         let has_authority = self.lease.authority(now).is_some();
         // Hosts with the same base versions of both tables get the same message, unless they reported
         // limits.
-        type Group = (UpdateBase, UpdateBase, u64, u64, bool);
-        let mut groups: BTreeMap<Group, Vec<HostIdentity>> = BTreeMap::new();
+        let mut groups: BTreeMap<NoticeGroup, Vec<HostIdentity>> = BTreeMap::new();
         for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
             let sync = match self.member_syncs.get_mut(&identity.name) {
                 Some(sync) => sync,
