Let hosts without a leader begin with a tenth of a second of their share

The first request of an account with a quota of 29,000 requests a second was refused 429: a host that knows neither leader nor the number of hosts began with less than one request of its share.

--- a/components/decisions/src/quota/account.rs
+++ b/components/decisions/src/quota/account.rs
@@ -18,6 +18,9 @@
 /// two requests reach a host in one second; what they left unused before makes up for it in the bound.
 const UNUSED_TIME: Duration = Duration::from_secs(2);
 const MAX_UNUSED_TIME: Duration = Duration::from_secs(1);
+/// Time of its share with which a host without a leader begins, so that requests that are small beside the share
+/// are not refused. Over all hosts it is a tenth of a second of the rate.
+const FIRST_SHARE_TIME: Duration = Duration::from_millis(100);
 /// Time for which changed use is reported again, because reports may be lost.
 const REPORT_TIME: Duration = Duration::from_secs(2);
 
@@ -145,7 +148,8 @@
         let capacity = share_burst + self.lone_extra;
         if starts {
             self.level.refill(now, share, query.limit.host_capacity(query.hosts));
-            self.level.add(query.position * cost + self.lone_extra, capacity);
+            let first = (query.position * cost).max(share * FIRST_SHARE_TIME.as_secs_f64());
+            self.level.add(first + self.lone_extra, capacity);
         } else {
             self.level.refill(now, share, capacity);
         }
