Send hosts with recently confirmed stamps the same notice

With relayed reads a leader of 86 hosts spent its processor time on notices: each host had confirmed another stamp, so each got a message of its own.

Hosts that confirmed within a second share a message with the lowest of their stamps, which is an earlier and so a safe bound for each of them.

--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -16,6 +16,7 @@
 use crate::message::StoredLease;
 use crate::message::TableUpdate;
 use crate::quota::QuotaTable;
+use crate::relay::StampLog;
 use crate::request::RequestTarget;
 use crate::routing::TableRange;
 use crate::routing::UpdateOutcome;
@@ -36,9 +37,9 @@
 /// a tenth of it.
 const SCAN_PAUSE_PER_HOST: Duration = Duration::from_micros(10);
 
-/// Hosts that get the same notice: base versions of both tables, confirmed report and stamp, and whether they
-/// get the states of quotas.
-type NoticeGroup = (UpdateBase, UpdateBase, u64, u64, bool);
+/// Hosts that get the same notice: base versions of both tables, the confirmed report, whether the confirmed
+/// stamp is recent, and whether they get the states of quotas.
+type NoticeGroup = (UpdateBase, UpdateBase, u64, bool, bool);
 
 impl HostReducer {
     /// Sends due messages: as leader to the scope's hosts and to other scopes, else to the leader.
@@ -77,7 +78,7 @@
         let has_authority = self.lease.authority(now).is_some();
         // Hosts with the same base versions of both tables get the same message, unless they reported
         // limits.
-        let mut groups: BTreeMap<NoticeGroup, Vec<HostIdentity>> = BTreeMap::new();
+        let mut groups: BTreeMap<NoticeGroup, (u64, Vec<HostIdentity>)> = BTreeMap::new();
         for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
             let sync = match self.member_syncs.get_mut(&identity.name) {
                 Some(sync) => sync,
@@ -104,10 +105,14 @@
             sync.dirty = false;
             let (limit_ack, stamp) = (sync.limit_ack, sync.stamp);
             let has_quotas = self.quotas.record_table_sent(now, has_authority, sync);
-            let group = (replicas, registry, limit_ack, stamp, has_quotas);
-            groups.entry(group).or_default().push(identity.clone());
+            let is_recent = StampLog::is_recent(now, stamp);
+            let group = (replicas, registry, limit_ack, is_recent, has_quotas);
+            // A message for each host would cost a leader of 86 hosts most of its processor time.
+            let (lowest, receivers) = groups.entry(group).or_insert((stamp, Vec::new()));
+            *lowest = stamp.min(*lowest);
+            receivers.push(identity.clone());
         }
-        for ((replicas, registry, limit_ack, stamp, has_quotas), receivers) in groups {
+        for ((replicas, registry, limit_ack, _, has_quotas), (stamp, receivers)) in groups {
             let mut notice = self.build_leader_notice(now, replicas, registry, limit_ack, stamp);
             if has_quotas {
                 notice.quota = self.quota_table(now);
--- a/components/decisions/src/relay/stamps.rs
+++ b/components/decisions/src/relay/stamps.rs
@@ -12,6 +12,9 @@
 /// be sent the same message.
 const STAMP_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Age up to which confirmed stamps count as recent. Hosts with traffic report four times a second.
+const RECENT_TIME: Duration = Duration::from_secs(1);
+
 /// Stamps of one leader's process, each with the moment at which it first arrived.
 #[derive(Debug, Clone, Default)]
 pub struct StampLog {
@@ -38,12 +41,24 @@
         }
     }
 
-    /// When the stamp first arrived; `None` if it did not, or long ago.
+    /// When the first stamp from `stamp` on arrived; `None` if none did, or long ago. The stamp may be an
+    /// earlier one than this host has confirmed, as hosts that are sent the same message share the lowest.
     pub fn received_at(&self, stamp: u64) -> Option<Moment> {
-        let found = self.received.iter().find(|(received, _)| *received == stamp);
+        // Stamps that were dropped may be among those that this host has confirmed.
+        let earliest = self.received.front()?.0;
+        if stamp == 0 || (earliest > stamp && self.received.len() >= MAX_STAMPS) {
+            return None;
+        }
+        let found = self.received.iter().find(|(received, _)| *received >= stamp);
         found.map(|(_, at)| *at)
     }
 
+    /// Whether a stamp that a host confirmed is recent at `now`, so that it can share a message with others.
+    pub fn is_recent(now: Moment, stamp: u64) -> bool {
+        let age = Self::stamp_at(now).saturating_sub(stamp);
+        stamp > 0 && age <= (RECENT_TIME.as_micros() / STAMP_INTERVAL.as_micros()) as u64
+    }
+
     /// Whether a stamp arrived since the last report.
     pub fn has_unreported(&self) -> bool {
         self.received.back().is_some_and(|(latest, _)| *latest > self.reported)
