--- a/components/decisions/src/host/store_reads.rs
+++ b/components/decisions/src/host/store_reads.rs
@@ -64,13 +64,10 @@
         }
     }
 
-    /// Whether this host relays its reads: it leads, and its scope is large enough. A configuration with
-    /// accounts, or upstreams that state their pace, count like a scope of any size.
+    /// Whether this host relays its reads: it leads, and its scope is large enough.
     fn relays_reads(&self) -> bool {
         let others = self.members.in_scope(&self.me.scope, &self.me.name).count();
-        let is_asked_for = self.catalog.has_accounts() || self.reach.has_paced_services();
-        let hosts = if is_asked_for { usize::MAX } else { others + 1 };
-        self.placement.is_some() && self.store_reads.relays(hosts)
+        self.placement.is_some() && self.store_reads.relays(others + 1)
     }
 
     fn relayed_view(&self, now: Moment, confirmed: u64) -> Option<RelayedView> {
--- a/components/settings/src/relayed_reads.rs
+++ b/components/settings/src/relayed_reads.rs
@@ -14,8 +14,7 @@
     Off,
     /// Hosts rely on their leader's reads.
     On,
-    /// Hosts rely on their leader's reads if there are many of them in the scope, if the configuration has
-    /// accounts, or if upstreams state their pace.
+    /// Hosts rely on their leader's reads if there are many of them in the scope.
     #[default]
     Auto,
 }
