--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -142,8 +142,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Default)]
 #[serde(rename_all = "kebab-case")]
 pub enum RoutingChoice {
-    /// Expected work for a service whose upstreams state their pace, and for all if the configuration has
-    /// accounts; number of requests for others.
+    /// The number of requests, for now.
     #[default]
     Auto,
     /// Expected work.
