Move the dating of store versions next to the types that use it

The era in a version was known to the platform adapter only. Log lines about the lease will name it, and what is decided by an era belongs to the reducer.

--- a/components/decisions/src/lib.rs
+++ b/components/decisions/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`message`]: messages between entry hosts.
 //! - [`order`]: orders to engines.
 //! - [`store`], [`registry`]: calls to the key-value service, and the pending ones by purpose.
+//! - [`era`]: versions of a key-value service that came back from an earlier copy.
 //! - [`admission`]: open requests and the queue of waiting requests.
 //! - [`routing`]: replicas of all scopes; load and health of upstreams.
 //! - [`quarantine`]: prompt parts that crash upstreams.
@@ -31,6 +32,7 @@
 pub mod configuration;
 pub mod discovery;
 pub mod effect;
+pub mod era;
 pub mod event;
 pub mod host;
 pub mod identity;
