Log what tells two leaders with one token apart

- `lease taken` says why, over which version and in which era of the store, and the highest epoch that the host had heard of before, with its source.
- `lease lost` names the epoch that ended and the record found in its place; it named epoch 0 and nobody.
- `order` lines have the fencing token.

A test compared the inputs of `lease taken` with the ground alone; it compares them with the longer text now. lease/state.rs is split: what a candidate asks, what it observed and on what it based its takeover have files of their own.

--- a/components/decisions/src/host/scope.rs
+++ b/components/decisions/src/host/scope.rs
@@ -259,7 +259,7 @@
             last_message: now,
             store: notice.store.clone(),
         });
-        self.lease.record_epoch(notice.epoch);
+        self.lease.record_notice(notice.epoch);
         self.declined = self.assets_named(&notice.declined);
         self.leader_successors = notice.successors;
         self.leader_host_count = (notice.hosts > 0).then_some(notice.hosts as usize);
--- a/components/decisions/src/host/state.rs
+++ b/components/decisions/src/host/state.rs
@@ -608,8 +608,8 @@
     /// Starts or ends this process's term as leader, after it acquired or lost the lease.
     pub(super) fn leadership_changed(&mut self, now: Moment, effects: &mut Vec<HostEffect>) {
         let held_epoch = self.lease.held_epoch();
-        if let (None, Some(placement)) = (held_epoch, &self.placement) {
-            let epoch = placement.epoch;
+        let epoch_before = self.placement.as_ref().map(|placement| placement.epoch);
+        if let (None, Some(epoch)) = (held_epoch, epoch_before) {
             for identity in self.members.in_scope(&self.me.scope, &self.me.name) {
                 let message = PeerMessage::LeaseReleased { epoch };
                 effects.push(HostEffect::send(identity.clone(), message));
@@ -646,10 +646,10 @@
             kind: DecisionKind::Lead,
             ticket: None,
             subject: self.me.scope.clone(),
-            choice: format!("epoch {}", held_epoch.unwrap_or(0)),
+            choice: format!("epoch {}", held_epoch.or(epoch_before).unwrap_or(0)),
             reason,
             alternatives: 0,
-            inputs: self.lease.ground().to_owned(),
+            inputs: self.lease.describe(),
         }));
         self.inventory_changed(now, effects);
     }
--- a/components/decisions/src/lease/mod.rs
+++ b/components/decisions/src/lease/mod.rs
@@ -8,11 +8,14 @@
 //! its promises have expired, or wait for the longest possible extension. See
 //! `docs/design/leadership.md`.
 
+mod basis;
 mod context;
 mod evidence;
 mod ground;
 mod holder;
+mod observed;
 mod record;
+mod release;
 mod state;
 mod successor;
 
--- a/components/decisions/src/lease/state.rs
+++ b/components/decisions/src/lease/state.rs
@@ -4,8 +4,6 @@
 
 use rand::Rng;
 
-use crate::effect::DecisionKind;
-use crate::effect::DecisionRecord;
 use crate::effect::HostEffect;
 use crate::identity::HostIdentity;
 use crate::membership::MemberDirectory;
@@ -18,13 +16,19 @@
 use crate::time::Moment;
 use crate::timing::TimingRules;
 
+use super::basis::EpochSource;
+use super::basis::KnownEpoch;
+use super::basis::TakeoverBasis;
 use super::context::LeaseContext;
 use super::evidence::ListEvidence;
 use super::ground::TakeoverGround;
 use super::holder::HeldLease;
 use super::holder::choose_successors;
+use super::observed::ObservedRecord;
 use super::record::LeaseRecord;
 use super::record::lease_key;
+use super::release::log_wait;
+use super::release::request_release;
 use super::successor::SuccessorState;
 
 /// Each candidate delays its takeover by a random time of up to this.
@@ -39,14 +43,6 @@
 /// Shortest term before the lease is released for a larger host.
 const MIN_TERM_BEFORE_YIELD: Duration = Duration::from_secs(2);
 
-/// The last known record, and since when its version has not changed.
-#[derive(Debug, Clone)]
-struct ObservedRecord {
-    version: u64,
-    record: Option<LeaseRecord>,
-    unchanged_since: Moment,
-}
-
 /// One process's view of the lease of its scope, as holder, candidate and successor.
 #[derive(Debug, Clone)]
 pub struct LeaseState {
@@ -72,15 +68,15 @@
     /// Epoch and version of the lease record for which a successor last confirmed that its promises
     /// have expired.
     released_record: Option<(u64, u64)>,
-    /// Why this process last took a lease over.
-    ground: Option<TakeoverGround>,
+    /// On what this process based its last takeover.
+    basis: Option<TakeoverBasis>,
     /// Version of the record for which it was logged that this process waits for a release.
     logged_wait: Option<u64>,
     /// What the platform's host list shows of the processes that the observed record names.
     evidence: ListEvidence,
     /// Highest epoch of any record or holder that this process heard of. The key-value service may have
     /// lost that record, but its holder's orders have used the epoch.
-    highest_epoch: u64,
+    highest_epoch: KnownEpoch,
     draining: bool,
 }
 
@@ -100,10 +96,10 @@
             takeover_at: None,
             pending_takeover: None,
             released_record: None,
-            ground: None,
+            basis: None,
             logged_wait: None,
             evidence: ListEvidence::new(now),
-            highest_epoch: 0,
+            highest_epoch: KnownEpoch::default(),
             draining: false,
         }
     }
@@ -114,10 +110,14 @@
         (now < held.authority_until).then_some((held.record.epoch, held.authority_until))
     }
 
-    /// Why this process took over the lease that it holds; empty if it holds none.
-    pub fn ground(&self) -> &'static str {
-        let ground = self.ground.filter(|_| self.held.is_some());
-        ground.map_or("", TakeoverGround::text)
+    /// For the log: on what this process based the takeover of the lease that it holds, or the record that
+    /// it found in place of its own.
+    pub fn describe(&self) -> String {
+        match (&self.held, &self.basis, &self.observed) {
+            (Some(_), Some(basis), _) => basis.to_string(),
+            (None, _, Some(observed)) => observed.to_string(),
+            _ => String::new(),
+        }
     }
 
     /// Epoch of the lease that this process holds, even if its authority has expired.
@@ -214,14 +214,13 @@
             return;
         }
         if let Some(ground) = self.takeover_ground(context) {
-            self.ground = Some(ground);
             let start = *self.takeover_at.get_or_insert_with(|| {
                 let spread = context.rng.random_range(0..=TAKEOVER_JITTER.as_micros() as u64);
                 let start = context.now.after(Duration::from_micros(spread));
                 if context.has_larger_peer(1) { start.after(SMALLER_HOST_DELAY) } else { start }
             });
             if context.now >= start {
-                self.take_over(context);
+                self.take_over(context, ground);
                 return;
             }
         }
@@ -286,12 +285,14 @@
         None
     }
 
-    fn take_over(&mut self, context: &mut LeaseContext<'_>) {
+    fn take_over(&mut self, context: &mut LeaseContext<'_>, ground: TakeoverGround) {
         let Some(observed) = self.observed.as_ref() else {
             return;
         };
         let observed_epoch = observed.record.as_ref().map_or(0, |record| record.epoch);
-        let epoch = observed_epoch.max(self.highest_epoch) + 1;
+        let epoch = observed_epoch.max(self.highest_epoch.epoch) + 1;
+        self.basis =
+            Some(TakeoverBasis { ground, version: observed.version, known: self.highest_epoch });
         let successors = choose_successors(context.me, context.reachable_peers().iter());
         let record = LeaseRecord {
             holder: context.me.clone(),
@@ -339,7 +340,7 @@
         match call {
             LeaseCall::Acquire => {
                 if let Some((record, _)) = self.pending_takeover.take() {
-                    self.record_epoch(record.epoch);
+                    self.highest_epoch.record(record.epoch, EpochSource::Record);
                     self.held = Some(HeldLease::new(record, version, sent, context.timing));
                     self.next_call = sent.after(context.timing.lease_renewal);
                 }
@@ -382,9 +383,9 @@
         self.evidence.record_list_lost();
     }
 
-    /// Records an epoch that a host of the scope has held the lease in.
-    pub fn record_epoch(&mut self, epoch: u64) {
-        self.highest_epoch = self.highest_epoch.max(epoch);
+    /// Records the epoch that a leader's notice names.
+    pub fn record_notice(&mut self, epoch: u64) {
+        self.highest_epoch.record(epoch, EpochSource::Notice);
     }
 
     /// Applies a record that the key-value service or its holder announced without a read. If the
@@ -424,7 +425,8 @@
         version: u64,
         record: Option<LeaseRecord>,
     ) {
-        self.record_epoch(record.as_ref().map_or(0, |record| record.epoch));
+        let epoch = record.as_ref().map_or(0, |record| record.epoch);
+        self.highest_epoch.record(epoch, EpochSource::Record);
         if self.held.is_some() {
             self.observe_as_holder(context, version, record);
             return;
@@ -556,30 +558,3 @@
         }
     }
 }
-
-/// Asks the hosts that a record names to release it. The holder's host is asked too, as another process may
-/// run there by now.
-fn request_release(context: &mut LeaseContext<'_>, record: &LeaseRecord, version: u64) {
-    let named = record.successors.iter().chain([&record.holder]);
-    for identity in named.filter(|identity| identity.name != context.me.name) {
-        let message = PeerMessage::PromiseReleaseRequest { epoch: record.epoch, version };
-        let latest = context.members.latest(&identity.name).unwrap_or(identity);
-        context.effects.push(HostEffect::send(latest.clone(), message));
-    }
-}
-
-/// Logs that this process waits for a release, once for each version of a record.
-fn log_wait(context: &mut LeaseContext<'_>, record: &LeaseRecord, version: u64) {
-    let successors: Vec<&str> =
-        record.successors.iter().map(|identity| identity.name.as_str()).collect();
-    let (holder, successors) = (&record.holder.name, successors.join(","));
-    context.effects.push(HostEffect::LogDecision(DecisionRecord {
-        kind: DecisionKind::Lead,
-        ticket: None,
-        subject: context.me.scope.clone(),
-        choice: format!("epoch {}", record.epoch),
-        reason: "lease expired, waits for a release",
-        alternatives: record.successors.len(),
-        inputs: format!("holder={holder} successors={successors} version={version}"),
-    }));
-}
--- a/components/decisions/tests/replaced_processes.rs
+++ b/components/decisions/tests/replaced_processes.rs
@@ -355,5 +355,25 @@
     let released = PeerMessage::PromiseReleased { epoch: 1, version: RECORD_VERSION };
     receive(&mut leader, process("east-2", LATER), released);
     leader.advance(RELEASE_WAIT_MS / 2);
-    assert_eq!(lead_lines(&leader), [expected, ("lease taken", "released".to_owned())]);
+    let basis = format!("released; replaces version={RECORD_VERSION} era=0 known=1 (record)");
+    assert_eq!(lead_lines(&leader), [expected, ("lease taken", basis)]);
+}
+
+/// Guards against a log that does not say which term ended, and who holds the lease instead.
+#[test]
+fn can_log_which_term_was_lost_and_to_whom() {
+    let mut leader = TestLeader::with_engine(support::INVENTORY, "llm");
+    leader.forget_effects();
+    let record = LeaseRecord { epoch: 9, ..record() };
+    leader.store_value("lease/east", &record.to_value());
+    let (version, _) = leader.stored("lease/east").expect("the record was stored");
+    leader.advance(TimingRules::default().lease_ttl.as_millis() as u64);
+    let lines = lead_lines(&leader);
+    let expected = format!("holder=east-2 epoch=9 version={version} era=0");
+    assert_eq!(lines.first(), Some(&("lease lost", expected)), "{lines:?}");
+    let choices = leader.host.effects.iter().filter_map(|effect| match effect {
+        HostEffect::LogDecision(record) if record.reason == "lease lost" => Some(&record.choice),
+        _ => None,
+    });
+    assert_eq!(choices.collect::<Vec<_>>(), ["epoch 1"]);
 }
--- a/components/entry/src/effects.rs
+++ b/components/entry/src/effects.rs
@@ -168,7 +168,8 @@
             if reply.outcome == OrderOutcome::NotSent {
                 shell.parts.metrics.count("order.not_sent");
             }
-            log_order(&shell.identity.name, &upstream, &described, order.expected, &reply);
+            let host = &shell.identity.name;
+            log_order(host, &upstream, &described, token, order.expected, &reply);
             shell.submit_statement(order.upstream, dispatched, &reply.statement);
             shell.submit(HostEvent::OrderOutcome(order.key, reply.outcome));
         });
--- a/components/entry/src/log_records.rs
+++ b/components/entry/src/log_records.rs
@@ -102,11 +102,12 @@
     (limit, statement.pause.map_or(0, |pause| pause.as_millis() as u64))
 }
 
-/// Logs the outcome of an order that was sent to an engine.
+/// Logs the outcome of an order with the fencing token `token`, that was sent to an engine.
 pub fn log_order(
     host: &str,
     upstream: &str,
     order: &str,
+    token: u64,
     expected: Option<u64>,
     reply: &OrderReply,
 ) {
@@ -129,8 +130,8 @@
     let (limit, pause_ms) = describe_statement(&reply.statement);
     info!(
         target: "order",
-        host = host, upstream = upstream, expected = expected.as_str(), outcome = outcome,
-        listing = listing.as_str(), limit = limit.as_str(), leaving = reply.statement.leaving,
+        host = host, upstream = upstream, token = token, expected = expected.as_str(),
+        outcome = outcome, listing = listing.as_str(), limit = limit.as_str(), leaving = reply.statement.leaving,
         asked_pause_ms = pause_ms;
         "{upstream}: {order}: {outcome}"
     );
