--- a/components/standins/src/fleet/engine.rs
+++ b/components/standins/src/fleet/engine.rs
@@ -15,48 +15,20 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::http::ChunkStream;
 use crate::http::KillSwitch;
 use crate::http::StandInAnswer;
 use crate::http::StandInHandler;
 use crate::http::StandInRequest;
 use crate::http::StandInServer;
 
-/// Number of events in each answer.
-const EVENTS_PER_ANSWER: u64 = 5;
-/// Time between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+use super::orders::OrderRecord;
+use super::streams::EventNumbering;
+use super::streams::StreamEnd;
+use super::streams::event_stream;
+
 /// Time from the head of an answer that crashes the engine to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
-/// How an engine ends a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum StreamEnd {
-    /// The last chunk follows the last event.
-    #[default]
-    LastChunk,
-    /// The connection is closed in the middle of an event, without the last chunk.
-    MissingChunk,
-    /// The last chunk comes in the middle of an event.
-    LastChunkInsideEvent,
-    /// There are no chunks; the connection is closed after the last event.
-    Close,
-    /// There are no chunks; the connection is closed in the middle of an event.
-    CloseInsideEvent,
-}
-
-/// How an engine numbers the events of its streams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum EventNumbering {
-    /// Ids count from 1, and a resumed stream continues after the last one.
-    #[default]
-    Continued,
-    /// Events have no ids, and every stream starts with the first event.
-    Missing,
-    /// Ids count from 1, and every stream starts with the first event.
-    StartedOver,
-}
-
 /// In which answers an engine says that it is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LeavingAnswers {
@@ -94,6 +66,8 @@
     accepted: u64,
     /// Highest fencing token received.
     token: u64,
+    /// Orders that arrived, in that order.
+    orders: Vec<OrderRecord>,
     /// Highest number of resident and loading models so far.
     peak_models: usize,
     runs: Vec<RunRecord>,
@@ -190,6 +164,11 @@
         self.lock().numbering = numbering;
     }
 
+    /// Orders that arrived, in that order, refused ones included.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.lock().orders.clone()
+    }
+
     /// Arrival times of all requests of callers, in order.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.lock().arrivals.clone()
@@ -264,6 +243,7 @@
     fn order(&self, body: &Value) -> StandInAnswer {
         let mut state = self.lock();
         let status = state.execute_order(body, self.load_time);
+        state.orders.push(OrderRecord::new(body, status));
         if state.order_answers_to_lose > 0 {
             state.order_answers_to_lose -= 1;
             return StandInAnswer::Hang;
@@ -395,32 +375,6 @@
     }
 }
 
-fn event_stream(id: &str, after: u64, end: StreamEnd, numbering: EventNumbering) -> ChunkStream {
-    let after = if numbering == EventNumbering::Continued { after } else { 0 };
-    let event = |number: u64| {
-        let data = format!("data: {id} {number}\n\n");
-        match numbering {
-            EventNumbering::Missing => data,
-            _ => format!("id: {number}\n{data}"),
-        }
-    };
-    let mut chunks: Vec<Result<Bytes, std::io::Error>> =
-        (after + 1..=EVENTS_PER_ANSWER).map(|number| Ok(Bytes::from(event(number)))).collect();
-    if !matches!(end, StreamEnd::LastChunk | StreamEnd::Close) {
-        chunks.truncate(2);
-        chunks.push(Ok(Bytes::from_static(b"id: 3\nda")));
-    }
-    if end == StreamEnd::MissingChunk {
-        chunks.push(Err(std::io::Error::other("cut")));
-    }
-    futures::stream::iter(chunks)
-        .then(|chunk| async move {
-            actix_rt::time::sleep(EVENT_INTERVAL).await;
-            chunk
-        })
-        .boxed_local()
-}
-
 impl StandInHandler for FleetEngine {
     fn handle(self: Arc<Self>, request: StandInRequest) -> LocalBoxFuture<'static, StandInAnswer> {
         async move {
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -5,19 +5,22 @@
 
 mod engine;
 mod gate;
+mod orders;
 mod service;
 mod stack;
 mod store;
+mod streams;
 
-pub use engine::EventNumbering;
 pub use engine::FleetEngine;
 pub use engine::LeavingAnswers;
 pub use engine::RunRecord;
-pub use engine::StreamEnd;
 pub use gate::StoreGate;
+pub use orders::OrderRecord;
 pub use service::FleetService;
 pub use service::ServiceBehavior;
 pub use stack::FleetSpec;
 pub use stack::FleetStack;
 pub use store::FleetStore;
 pub use store::StoreCopy;
+pub use streams::EventNumbering;
+pub use streams::StreamEnd;
--- a/components/standins/src/fleet/store.rs
+++ b/components/standins/src/fleet/store.rs
@@ -94,6 +94,13 @@
     }
 }
 
+/// Whether a call is a transaction that writes a key with this prefix.
+pub(super) fn writes_key(request: &StandInRequest, prefix: &str) -> bool {
+    let body = if request.path == "/-/kv-txn" { request.json() } else { Value::Null };
+    let mut rows = body["writes"].as_array().into_iter().flatten();
+    rows.any(|row| row["key"].as_str().is_some_and(|key| key.starts_with(prefix)))
+}
+
 /// The store, which can simulate faults.
 #[derive(Debug, Clone, Default)]
 pub struct FleetStore {
@@ -317,14 +324,7 @@
 
     /// Delay of a transaction that is to be executed late; once.
     fn take_delay(&mut self, request: &StandInRequest) -> Option<Duration> {
-        if request.path != "/-/kv-txn" {
-            return None;
-        }
-        let body = request.json();
-        let writes = body["writes"].as_array()?;
-        let mut keys = writes.iter().filter_map(|row| row["key"].as_str());
-        let is_late =
-            |(prefix, _): &mut (String, Duration)| keys.any(|key| key.starts_with(&**prefix));
+        let is_late = |(prefix, _): &mut (String, Duration)| writes_key(request, prefix);
         self.late_write.take_if(is_late).map(|(_, delay)| delay)
     }
 
