Let the fuzzer's store come back from a copy

The simulated store lost nothing, so no world could show what operators reported: orders of two hosts with one fencing token after the store came back from a copy that was some seconds old.

The store keeps copies, one a second, once a world asks for them. It goes away for half a second and comes back from one, in the next era: revisions go back and are given out again, and what operators wrote is written again. Versions are dated as the platform's client dates them. Each process knows the highest era that an answer named: answers of an earlier one count as lost, a write that expects a version of an earlier one becomes a read, and one that was carried out over a value of another era counts as lost. Writes without an answer can be carried out up to six seconds later, also after a return. `FuzzWorld::return_store` plays a return, with a takeover that the copy doesn't have, a leader out of touch, restarts of all hosts and late writes.

--- a/components/fuzzer/src/world/deliver.rs
+++ b/components/fuzzer/src/world/deliver.rs
@@ -12,7 +12,6 @@
 use wagtailledge_decisions::order::EngineOrder;
 use wagtailledge_decisions::order::OrderOutcome;
 use wagtailledge_decisions::store::StoreCall;
-use wagtailledge_decisions::store::StoreOutcome;
 
 use super::event_queue::ProcessId;
 use super::event_queue::ScheduledEvent;
@@ -20,6 +19,8 @@
 use super::processes::FuzzSlot;
 use super::state::FuzzWorld;
 use super::state::HeldOrders;
+use super::store::StoreReply;
+use super::store::client_operation;
 
 /// Time after which an unanswered call to the key-value service counts as failed, in
 /// microseconds.
@@ -106,14 +107,18 @@
     }
 
     fn schedule_store_call(&mut self, from: ProcessId, call: StoreCall) {
-        let id = call.id;
+        let Some(process) = self.slots[from.slot].process.as_ref() else {
+            return;
+        };
+        let StoreCall { id, op } = call;
+        let call = StoreCall { id, op: client_operation(op, process.store_era) };
         let slow = self.chance(20);
         let longest = if slow { 4_000_000 } else { 20_000 };
         let delay = self.rng.random_range(1_000..longest);
         self.schedule_after(delay, ScheduledEvent::StoreCall(from, call));
         self.schedule_after(
             STORE_TIMEOUT,
-            ScheduledEvent::StoreAnswer(from, id, StoreOutcome::Failed),
+            ScheduledEvent::StoreAnswer(from, id, StoreReply::lost()),
         );
     }
 
@@ -137,6 +142,7 @@
             | ScheduledEvent::HostList(id, ..) => Some(*id),
             ScheduledEvent::LimitNotice(call, _) => Some(call.from),
             ScheduledEvent::StoreCall(..)
+            | ScheduledEvent::LateWrite(_)
             | ScheduledEvent::OrderArrival(..)
             | ScheduledEvent::CallArrival(_)
             | ScheduledEvent::QuotaCall(_)
@@ -163,7 +169,11 @@
                     self.submit(slot, HostEvent::Peer(envelope));
                 }
             }
-            ScheduledEvent::StoreAnswer(id, call, outcome) => {
+            ScheduledEvent::StoreAnswer(id, call, reply) => {
+                let Some(process) = self.slots[id.slot].process.as_mut() else {
+                    return;
+                };
+                let outcome = reply.outcome_at(&mut process.store_era);
                 self.submit(id.slot, HostEvent::StoreOutcome(call, outcome));
             }
             ScheduledEvent::OrderWrite(id, order) => self.send_order(id, order),
@@ -181,6 +191,7 @@
                 }
             }
             ScheduledEvent::StoreCall(..)
+            | ScheduledEvent::LateWrite(_)
             | ScheduledEvent::OrderArrival(..)
             | ScheduledEvent::CallArrival(_)
             | ScheduledEvent::QuotaCall(_)
@@ -191,6 +202,7 @@
     fn deliver_to_environment(&mut self, event: ScheduledEvent) {
         match event {
             ScheduledEvent::StoreCall(id, call) => self.execute_store_call(id, call),
+            ScheduledEvent::LateWrite(op) => self.execute_late_write(op),
             ScheduledEvent::QuotaCall(account) => self.send_quota_call(account),
             ScheduledEvent::OrderArrival(id, key, engine, token, kind) => {
                 let load_time = LOAD_TIME * self.faults.load_factor;
@@ -219,19 +231,6 @@
         }
     }
 
-    /// Executes a call at the key-value service. The answer may get lost.
-    fn execute_store_call(&mut self, id: ProcessId, call: StoreCall) {
-        if self.faults.store_down || self.faults.store_cuts.contains(&id.slot) {
-            return;
-        }
-        let outcome = self.store.call(call.op);
-        if self.chance(self.faults.loss + 5) {
-            return;
-        }
-        let delay = self.rng.random_range(500..20_000);
-        self.schedule_after(delay, ScheduledEvent::StoreAnswer(id, call.id, outcome));
-    }
-
     /// Sends an order if it is still valid by the process's clock and authority.
     fn send_order(&mut self, id: ProcessId, order: EngineOrder) {
         let now = self.now;
--- a/components/fuzzer/src/world/event_queue.rs
+++ b/components/fuzzer/src/world/event_queue.rs
@@ -13,7 +13,9 @@
 use wagtailledge_decisions::request::RequestTicket;
 use wagtailledge_decisions::store::StoreCall;
 use wagtailledge_decisions::store::StoreCallId;
-use wagtailledge_decisions::store::StoreOutcome;
+use wagtailledge_decisions::store::StoreOp;
+
+use super::store::StoreReply;
 
 /// Identifies a process by its slot and its incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,8 +52,10 @@
     Peer(usize, Box<PeerEnvelope>),
     /// A call from this process reaches the key-value service.
     StoreCall(ProcessId, StoreCall),
-    /// The outcome of a call to the key-value service reaches the process that made the call.
-    StoreAnswer(ProcessId, StoreCallId, StoreOutcome),
+    /// The key-value service carries out a write whose process gets no answer.
+    LateWrite(StoreOp),
+    /// The answer to a call to the key-value service reaches the process that made the call.
+    StoreAnswer(ProcessId, StoreCallId, StoreReply),
     /// A process is about to send an order.
     OrderWrite(ProcessId, EngineOrder),
     /// An order from this process reaches an engine: order key, engine index, fencing token, kind.
--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -231,7 +231,7 @@
         }
     }
 
-    fn drain(&mut self, slot: usize) {
+    pub(super) fn drain(&mut self, slot: usize) {
         let now = self.now;
         let Some(process) = self.slots[slot].process.as_mut() else {
             return;
@@ -300,9 +300,10 @@
         });
     }
 
-    /// Repairs all cuts and ends the outage of the key-value service.
+    /// Repairs all cuts, and ends the outage of the key-value service and late writes.
     pub fn heal(&mut self) {
         self.faults.store_down = false;
+        self.faults.late_writes = 0;
         self.faults.store_cuts.clear();
         self.faults.zone_cuts.clear();
         self.faults.host_cuts.clear();
@@ -320,19 +321,8 @@
         let items = to_items(&document);
         let shards = split_shards(&items);
         for (index, (hash, text)) in shards.iter().enumerate() {
-            let key = shard_key(index, *hash);
-            self.store.call(StoreOp::CompareAndSwap {
-                key,
-                expected: 0,
-                value: text.clone(),
-                ttl: None,
-            });
+            self.store.write_as_operator(shard_key(index, *hash), text.clone());
         }
-        let key = HEAD_KEY.to_owned();
-        let expected = match self.store.call(StoreOp::Read { key: key.clone() }) {
-            StoreOutcome::Found { version, .. } => version,
-            _ => 0,
-        };
         self.revision += 1;
         let head = ConfigurationHead {
             revision: self.revision,
@@ -341,7 +331,7 @@
             history: Vec::new(),
         };
         let value = serde_json::to_string(&head).expect("a head has only string keys");
-        self.store.call(StoreOp::CompareAndSwap { key, expected, value, ttl: None });
+        self.store.write_as_operator(HEAD_KEY.to_owned(), value);
     }
 
     /// Ends all faults and checks that every asset is served again.
--- a/components/fuzzer/src/world/mod.rs
+++ b/components/fuzzer/src/world/mod.rs
@@ -11,6 +11,7 @@
 mod processes;
 mod quotas;
 mod retries;
+mod returns;
 mod scenario;
 mod state;
 mod store;
@@ -18,4 +19,7 @@
 
 pub use faults::HolderReturn;
 pub use faults::LeaderReturn;
+pub use returns::LeaderTouch;
+pub use returns::LostTakeover;
+pub use returns::StoreReturn;
 pub use state::FuzzWorld;
--- a/components/fuzzer/src/world/processes.rs
+++ b/components/fuzzer/src/world/processes.rs
@@ -37,6 +37,8 @@
     pub next_list_read: u64,
     /// Ticket and attempt number of each cancelled attempt.
     pub cancelled: Vec<(RequestTicket, u32)>,
+    /// Highest era of the key-value service that an answer named to it.
+    pub store_era: u64,
     /// Rate of its clock, in parts per million of virtual time.
     rate: u64,
 }
@@ -63,6 +65,7 @@
             next_tick: now,
             next_list_read: now,
             cancelled: Vec::new(),
+            store_era: 0,
             rate: (1_000_000 + drift) as u64,
         }
     }
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -43,6 +43,8 @@
 pub struct FaultState {
     /// Whether the key-value service is unreachable for all hosts.
     pub store_down: bool,
+    /// Writes without an answer that the key-value service carries out seconds later, per thousand.
+    pub late_writes: u32,
     /// Whether no host can read the host list.
     pub host_list_down: bool,
     /// Slots that cannot reach the key-value service.
