Play returns of the store, and check that no two hosts order with one token

The oracle checks for every engine that no fencing token comes from two hosts, until the engine restarts. Orders that arrive within 300 ms after their sender was thawed or a cut was repaired don't count.

Callers have no idempotency keys in these worlds: the platform whose store comes back from copies has none (docs/design/platform.md), and no ledger survives the loss of its claims.

--- a/components/fuzzer/src/oracle.rs
+++ b/components/fuzzer/src/oracle.rs
@@ -31,6 +31,8 @@
     calls: BTreeMap<u64, CallRecord>,
     runs_by_key: BTreeMap<String, u32>,
     revision_by_process: BTreeMap<u64, u64>,
+    /// Host whose order first reached an engine with a fencing token, by index of the engine and token.
+    host_by_token: BTreeMap<(usize, u64), String>,
     violations: Vec<String>,
     answered_calls: BTreeSet<u64>,
     /// Number of calls answered.
@@ -210,6 +212,21 @@
         self.report_violation("one orderer", &detail);
     }
 
+    /// Records that an order reached an engine, and checks that no other host ordered there with its
+    /// fencing token.
+    pub fn record_order(&mut self, index: usize, engine: &str, token: u64, host: &str) {
+        let first = self.host_by_token.entry((index, token)).or_insert_with(|| host.to_owned());
+        if first != host {
+            let detail = format!("{engine} got orders of {first} and {host} with token {token}");
+            self.report_violation("one token, one host", &detail);
+        }
+    }
+
+    /// Forgets the orders that reached an engine which restarts.
+    pub fn forget_orders(&mut self, index: usize) {
+        self.host_by_token.retain(|(engine, _), _| *engine != index);
+    }
+
     /// Reports that an upstream got new work later than the grace period after it began to leave.
     pub fn report_work_while_leaving(&mut self, upstream: &str) {
         self.report_violation("leaving upstreams", &format!("{upstream} got new work"));
--- a/components/fuzzer/src/run.rs
+++ b/components/fuzzer/src/run.rs
@@ -30,6 +30,9 @@
     if script.seed % 8 == 1 {
         world.start_quota_load((script.seed / 8) as usize);
     }
+    if script.returns_store() {
+        world.keep_store_copies();
+    }
     world.advance(1_000_000);
     for action in &script.actions {
         world.apply_action(*action);
--- a/components/fuzzer/src/world/deliver.rs
+++ b/components/fuzzer/src/world/deliver.rs
@@ -35,6 +35,8 @@
 const MAX_CHECKED_ORDER_TRANSIT: u64 = 20_000_000;
 /// Longest time for which a host's kernel goes on sending what was not dropped, in microseconds.
 const MAX_HELD_TIME: u64 = 20_000_000;
+/// Time after a freeze or the repair of a cut in which orders don't count, in microseconds.
+const THAW_TIME: u64 = 300_000;
 /// Time to load a model at full speed, in microseconds.
 const LOAD_TIME: u64 = 800_000;
 
@@ -207,9 +209,12 @@
             ScheduledEvent::OrderArrival(id, key, engine, token, kind) => {
                 let load_time = LOAD_TIME * self.faults.load_factor;
                 let seen = self.engines[engine].highest_token();
+                let name = &self.engines[engine].name;
+                if !self.was_just_out_of_touch(id) {
+                    self.oracle.record_order(engine, name, token, &self.slots[id.slot].name);
+                }
                 if !self.engines[engine].checks_tokens && token < seen {
-                    let name = self.engines[engine].name.clone();
-                    self.oracle.report_overtaken_order(&name, token, seen);
+                    self.oracle.report_overtaken_order(name, token, seen);
                 }
                 let outcome = self.engines[engine].apply_order(self.now, token, &kind, load_time);
                 if self.trace {
@@ -231,6 +236,15 @@
         }
     }
 
+    /// Whether the process was thawed or a cut was repaired so shortly before that its orders don't count.
+    fn was_just_out_of_touch(&self, id: ProcessId) -> bool {
+        let is_recent = |since: u64| since <= self.now && self.now < since + THAW_TIME;
+        let process = self.slots[id.slot].process.as_ref().filter(|process| process.id == id);
+        let thawed = process.map(|process| process.frozen_until);
+        let thawed = thawed.filter(|until| process.is_some_and(|process| *until > process.started));
+        thawed.is_some_and(is_recent) || self.faults.healed_at.is_some_and(is_recent)
+    }
+
     /// Sends an order if it is still valid by the process's clock and authority.
     fn send_order(&mut self, id: ProcessId, order: EngineOrder) {
         let now = self.now;
--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -23,6 +23,7 @@
 use super::inventory::ZONES;
 use super::inventory::build_inventory;
 use super::inventory::build_reduced_inventory;
+use super::returns::StoreReturn;
 use super::state::FuzzWorld;
 
 /// Unit of freezes and deadlines in scripts, in milliseconds.
@@ -136,6 +137,9 @@
                     self.disrupt_leader(zone, how);
                 }
             }
+            FuzzAction::StoreReturns(kind, time) => {
+                self.return_store(StoreReturn::new(kind, time));
+            }
             FuzzAction::Drain(host) => {
                 let slot = self.slot(host);
                 self.drain(slot);
@@ -268,6 +272,7 @@
             FuzzAction::RestartEngine(engine) => {
                 let index = usize::from(engine) % self.engines.len();
                 self.engines[index].restart();
+                self.oracle.forget_orders(index);
                 self.drop_orders(index);
             }
             FuzzAction::ToggleEngine(engine) => {
@@ -302,6 +307,9 @@
 
     /// Repairs all cuts, and ends the outage of the key-value service and late writes.
     pub fn heal(&mut self) {
+        if self.faults.has_cuts() {
+            self.faults.healed_at = Some(self.now);
+        }
         self.faults.store_down = false;
         self.faults.late_writes = 0;
         self.faults.store_cuts.clear();
--- a/components/fuzzer/src/world/returns.rs
+++ b/components/fuzzer/src/world/returns.rs
@@ -7,6 +7,7 @@
 
 use super::event_queue::ProcessId;
 use super::event_queue::ScheduledEvent;
+use super::inventory::ZONES;
 use super::state::FuzzWorld;
 use super::store::StoreReply;
 use super::store::expected_version;
@@ -66,6 +67,32 @@
     pub late_writes: bool,
 }
 
+impl StoreReturn {
+    /// The return that two numbers select.
+    pub(super) fn new(kind: u8, time: u8) -> Self {
+        let has = |bit: u8| kind & bit != 0;
+        let takeover = match (has(4), has(8)) {
+            (false, _) => LostTakeover::None,
+            (true, false) => LostTakeover::Drained,
+            (true, true) => LostTakeover::Killed,
+        };
+        let leader = match (has(16), has(128)) {
+            (false, _) => LeaderTouch::All,
+            (true, false) => LeaderTouch::Apart,
+            (true, true) => LeaderTouch::Unheard,
+        };
+        Self {
+            zone: usize::from(kind) % ZONES.len(),
+            age: u64::from(time % 16) * 250_000,
+            takeover,
+            term: u64::from(time / 16) * 200_000,
+            leader,
+            restarts: has(32),
+            late_writes: has(64),
+        }
+    }
+}
+
 impl FuzzWorld {
     /// Keeps copies of the key-value service, so that it can come back from one.
     pub fn keep_store_copies(&mut self) {
--- a/components/fuzzer/src/world/state.rs
+++ b/components/fuzzer/src/world/state.rs
@@ -43,6 +43,8 @@
 pub struct FaultState {
     /// Whether the key-value service is unreachable for all hosts.
     pub store_down: bool,
+    /// When cuts were last repaired, in microseconds.
+    pub healed_at: Option<u64>,
     /// Writes without an answer that the key-value service carries out seconds later, per thousand.
     pub late_writes: u32,
     /// Whether no host can read the host list.
@@ -71,6 +73,14 @@
     pub upstreams_failing: bool,
 }
 
+impl FaultState {
+    /// Whether any network is cut.
+    pub fn has_cuts(&self) -> bool {
+        let cut_hosts = !self.host_cuts.is_empty() || !self.store_cuts.is_empty();
+        cut_hosts || !self.zone_cuts.is_empty() || !self.upstream_cuts.is_empty()
+    }
+}
+
 /// Orders that the kernel of their host cannot send for seconds.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HeldOrders {
