--- a/components/decisions/tests/support/scope.rs
+++ b/components/decisions/tests/support/scope.rs
@@ -7,6 +7,8 @@
 use wagtailledge_decisions::HostEvent;
 use wagtailledge_decisions::HostIdentity;
 use wagtailledge_decisions::TimingRules;
+use wagtailledge_decisions::event::ListedHost;
+use wagtailledge_decisions::event::ListedProcess;
 use wagtailledge_decisions::event::ListedState;
 use wagtailledge_decisions::event::RegisteredUpstream;
 use wagtailledge_decisions::event::RegistryChange;
@@ -92,6 +94,8 @@
     pub is_up: bool,
     /// Highest era that an answer has named to it.
     era: u64,
+    /// Revision of its entry in the platform's list.
+    entry: u64,
     /// Number of effects already processed.
     processed: usize,
     /// Calls that are carried out later.
@@ -151,6 +155,7 @@
             is_heard: true,
             is_up: true,
             era: 0,
+            entry: 1,
             processed: 0,
             late: Vec::new(),
             answers: Vec::new(),
@@ -167,6 +172,7 @@
         for index in 0..scope.hosts.len() {
             scope.register_engine(index);
         }
+        scope.list_hosts();
         scope
     }
 
@@ -189,6 +195,31 @@
         host.submit(HostEvent::Registry(vec![RegistryChange::Present(Box::new(entry))]));
     }
 
+    /// Delivers the platform's list of all hosts to each of them.
+    fn list_hosts(&mut self) {
+        let listed: Vec<ListedHost> = self
+            .hosts
+            .iter()
+            .map(|host| ListedHost {
+                name: host.me.name.clone(),
+                zone: host.me.zone.clone(),
+                scope: host.me.scope.clone(),
+                peer_address: host.me.address.clone(),
+                capacity: 0,
+                state: ListedState::Live,
+                process: Some(ListedProcess {
+                    incarnation: host.me.incarnation,
+                    version: dated(self.era, host.entry),
+                }),
+            })
+            .collect();
+        for host in &mut self.hosts {
+            let name = &host.me.name;
+            let others = listed.iter().filter(|other| other.name != *name).cloned().collect();
+            host.host.submit(HostEvent::Members(others));
+        }
+    }
+
     /// Sets the link of every host.
     pub fn link_all(&mut self, link: StoreLink) {
         self.hosts.iter_mut().for_each(|host| host.link = link);
@@ -276,13 +307,17 @@
         let mut me = self.hosts[index].me.clone();
         me.incarnation += 1;
         me.address = format!("{}:{}", me.name, me.incarnation);
-        self.hosts[index].host = TestHost::of_process(INVENTORY, TimingRules::default(), me.clone());
+        self.hosts[index].host =
+            TestHost::of_process(INVENTORY, TimingRules::default(), me.clone());
         self.hosts[index].me = me;
         self.hosts[index].is_up = true;
         self.hosts[index].era = 0;
         self.hosts[index].processed = 0;
         self.hosts[index].answers.clear();
         self.register_engine(index);
+        self.number += 1;
+        self.hosts[index].entry = self.number;
+        self.list_hosts();
     }
 
     /// Carries out the late calls of a host. Returns how many took effect.
@@ -351,18 +386,26 @@
                 self.hosts[index].host.submit(HostEvent::OrderOutcome(order.key, outcome));
             }
             HostEffect::Send(to, message) => {
-                self.deliver(index, &[to], PeerEnvelope {
-                    version: MESSAGE_VERSION,
-                    from: self.hosts[index].me.clone(),
-                    message: *message,
-                });
+                self.deliver(
+                    index,
+                    &[to],
+                    PeerEnvelope {
+                        version: MESSAGE_VERSION,
+                        from: self.hosts[index].me.clone(),
+                        message: *message,
+                    },
+                );
             }
             HostEffect::Broadcast(receivers, message) => {
-                self.deliver(index, &receivers, PeerEnvelope {
-                    version: MESSAGE_VERSION,
-                    from: self.hosts[index].me.clone(),
-                    message: *message,
-                });
+                self.deliver(
+                    index,
+                    &receivers,
+                    PeerEnvelope {
+                        version: MESSAGE_VERSION,
+                        from: self.hosts[index].me.clone(),
+                        message: *message,
+                    },
+                );
             }
             _ => {}
         }
@@ -406,7 +449,9 @@
         self.hosts[index].era = self.era;
         let expected = match &op {
             StoreOp::Read { .. } => 0,
-            StoreOp::CompareAndSwap { expected, .. } | StoreOp::Delete { expected, .. } => *expected,
+            StoreOp::CompareAndSwap { expected, .. } | StoreOp::Delete { expected, .. } => {
+                *expected
+            }
         };
         if expected != 0 && era_of(expected) != known {
             let (StoreOp::Read { key }
