--- a/components/decisions/tests/returned_store.rs
+++ b/components/decisions/tests/returned_store.rs
@@ -153,6 +153,25 @@
     assert_eq!(overlap_ms, 0, "ms in which both hosts have authority");
 }
 
+/// Guards against a process that takes a lease at once as the copy has the record of the process before it.
+#[test]
+fn can_wait_for_a_holder_that_followed_an_earlier_process_of_this_host() {
+    let mut scope = TestScope::with_hosts(2);
+    scope.advance(5_000);
+    lead_with(&mut scope, 1);
+    let copy = scope.copy();
+    scope.hosts[1].is_up = false;
+    scope.link_all(StoreLink::Open);
+    assert!(scope.wait_until(TAKEOVER_MS, |scope| scope.leads(0)), "the other host takes over");
+    scope.advance(5_000);
+    scope.hosts[0].is_heard = false;
+    scope.restore(&copy);
+    scope.restart(1);
+    scope.advance(TAKEOVER_MS);
+    let overlap_ms = scope.overlaps.len() * 10;
+    assert_eq!(overlap_ms, 0, "ms in which both hosts have authority");
+}
+
 fn timing() -> TimingRules {
     TimingRules {
         configuration_read: None,
@@ -163,6 +182,17 @@
 
 /// Event that brings the entry of an upstream.
 fn entry(name: &str, software: &str, state: ListedState, revision: u64) -> HostEvent {
+    process_entry(name, software, state, 1, revision)
+}
+
+/// Event that brings the entry of a process of an upstream, which started at `started_ms`.
+fn process_entry(
+    name: &str,
+    software: &str,
+    state: ListedState,
+    started_ms: u64,
+    revision: u64,
+) -> HostEvent {
     HostEvent::Registry(vec![RegistryChange::Present(Box::new(RegisteredUpstream {
         name: name.to_owned(),
         service: "vents".to_owned(),
@@ -171,7 +201,7 @@
         address: "127.0.0.1:9001".to_owned(),
         slots: 64,
         software: software.to_owned(),
-        started_ms: 1,
+        started_ms,
         state,
         remaining: None,
         revision,
@@ -266,3 +296,19 @@
     ask(&mut host, None);
     assert_eq!(sent_to(&host), [""; 0]);
 }
+
+/// Guards against an upstream that counts as its process before, whose entry the copy has.
+#[test]
+fn can_keep_the_process_of_an_upstream_whose_earlier_entry_the_copy_has() {
+    let mut host = empty_host();
+    host.submit(process_entry("app-1", "v1", ListedState::Live, 1_000, version(1, 10)));
+    host.submit(process_entry("app-1", "v1", ListedState::Live, 2_000, version(1, 20)));
+    host.submit(process_entry("app-1", "v1", ListedState::Live, 1_000, version(2, 10)));
+    ask(&mut host, None);
+    let sent = host.effects.iter().filter_map(|effect| match effect {
+        HostEffect::Dispatch { upstream, .. } => host.reducer.catalog().process(*upstream),
+        _ => None,
+    });
+    let starts: Vec<u64> = sent.map(|process| process.started_ms).collect();
+    assert_eq!(starts, [2_000], "a process started later than the copy's");
+}
