Show two leaders with one token after the store came back older

Operators saw orders of two hosts with one fencing token. An epoch is one more than the highest that the candidate has heard of, so it is given out twice when the store has lost a record and the candidate never heard of it.

Fourteen worlds over sockets check that no two hosts use one token, that no host orders with a lower one than another before it at that engine, and that a leader loads a model within 10 s: all hosts killed, a host that missed a takeover, a leader that missed its successor, takeovers carried out or answered after the return. Ten tests of the reducer check the same without sockets. Two tests concern no return: a process that finds its own earlier takeover, with other successors than its last one, takes the record for another's and waits for the longest extension.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod scripted;
+pub mod tokens;
 
 use std::net::SocketAddr;
 use std::time::Duration;
