Play leaders who miss each other around a return of the store

No world had two running hosts that take one epoch, which is what operators reported. A return can now find all hosts but the leader and the next one out of touch until the store is back, or the leader in touch with its successors only. The record of a stored lease is read in one place.

--- a/components/fuzzer/src/world/faults.rs
+++ b/components/fuzzer/src/world/faults.rs
@@ -9,11 +9,7 @@
 use wagtailledge_decisions::configuration::shard_key;
 use wagtailledge_decisions::configuration::split_shards;
 use wagtailledge_decisions::configuration::to_items;
-use wagtailledge_decisions::lease::LeaseRecord;
-use wagtailledge_decisions::lease::lease_key;
 use wagtailledge_decisions::limits::RequestRate;
-use wagtailledge_decisions::store::StoreOp;
-use wagtailledge_decisions::store::StoreOutcome;
 
 use crate::action::FuzzAction;
 
@@ -185,11 +181,7 @@
     /// Kills the holder of a zone's lease and its successors, as the stored record names them, and starts
     /// some of them again a second later.
     pub fn lose_leaders(&mut self, zone: usize, returns: LeaderReturn) {
-        let outcome = self.store.call(StoreOp::Read { key: lease_key(ZONES[zone]) });
-        let StoreOutcome::Found { value, .. } = outcome else {
-            return;
-        };
-        let Some(record) = LeaseRecord::parse(&value) else {
+        let Some(record) = self.stored_lease(zone) else {
             return;
         };
         let slot_of = |name: &str| self.slots.iter().position(|slot| slot.name == name);
--- a/components/fuzzer/src/world/returns.rs
+++ b/components/fuzzer/src/world/returns.rs
@@ -1,6 +1,8 @@
 //! Returns of the key-value service from a copy that is some seconds old.
 
 use rand::Rng;
+use wagtailledge_decisions::lease::LeaseRecord;
+use wagtailledge_decisions::lease::lease_key;
 use wagtailledge_decisions::store::StoreCall;
 use wagtailledge_decisions::store::StoreOp;
 use wagtailledge_decisions::store::StoreOutcome;
@@ -44,7 +46,9 @@
     All,
     /// Neither the service nor any host, from the absence of the service on.
     Apart,
-    /// The same, and no host from the takeover on.
+    /// Of all hosts only the successors that its record names, and not the service, from then on.
+    Successors,
+    /// Neither the service nor any host, and no host from the takeover on.
     Unheard,
 }
 
@@ -61,6 +65,9 @@
     pub term: u64,
     /// Whom the leader reaches.
     pub leader: LeaderTouch,
+    /// Whether all hosts but the leader and the next one are out of touch with the service and each other
+    /// from the takeover on, until the service returns.
+    pub others_apart: bool,
     /// Whether all processes are killed while the service is away, and others start when it is back.
     pub restarts: bool,
     /// Whether writes without an answer are carried out seconds later.
@@ -79,7 +86,8 @@
         let leader = match (has(16), has(128)) {
             (false, _) => LeaderTouch::All,
             (true, false) => LeaderTouch::Apart,
-            (true, true) => LeaderTouch::Unheard,
+            (true, true) if time.is_multiple_of(2) => LeaderTouch::Unheard,
+            (true, true) => LeaderTouch::Successors,
         };
         Self {
             zone: usize::from(kind) % ZONES.len(),
@@ -87,6 +95,7 @@
             takeover,
             term: u64::from(time / 16) * 200_000,
             leader,
+            others_apart: has(128) && !has(16),
             restarts: has(32),
             late_writes: has(64),
         }
@@ -106,6 +115,10 @@
         if plan.late_writes {
             self.faults.late_writes = LATE_WRITES;
         }
+        let others = if plan.others_apart { self.hosts_without_lease(zone) } else { Vec::new() };
+        for slot in &others {
+            self.cut_off(*slot);
+        }
         if takeover != LostTakeover::None {
             self.change_leader(zone, takeover);
         }
@@ -115,8 +128,10 @@
         }
         self.advance(plan.term);
         if let Some(slot) = leader.filter(|_| plan.leader != LeaderTouch::All) {
-            self.cut_from_hosts(slot);
-            self.faults.store_cuts.insert(slot);
+            self.cut_off(slot);
+            if plan.leader == LeaderTouch::Successors {
+                self.end_cuts_from_successors(slot);
+            }
         }
         self.store.go_away();
         if plan.restarts {
@@ -129,6 +144,10 @@
         if self.trace {
             println!("{:>10.3} the store is in era {}", self.now as f64 / 1e6, self.store.era());
         }
+        let leader = leader.filter(|_| plan.leader != LeaderTouch::All);
+        for slot in &others {
+            self.end_cuts(*slot, leader);
+        }
         if plan.restarts {
             self.start_missing();
         }
@@ -194,6 +213,47 @@
         }
     }
 
+    /// Running hosts of a zone but its leader and one that may follow.
+    fn hosts_without_lease(&self, zone: usize) -> Vec<usize> {
+        let leader = self.leader_slot(zone);
+        let running = self.slots_in(zone).filter(|slot| self.slots[*slot].process.is_some());
+        running.filter(|slot| Some(*slot) != leader).skip(1).collect()
+    }
+
+    fn cut_off(&mut self, slot: usize) {
+        self.cut_from_hosts(slot);
+        self.faults.store_cuts.insert(slot);
+    }
+
+    /// Ends the cuts of a host but the one from `apart`.
+    fn end_cuts(&mut self, slot: usize, apart: Option<usize>) {
+        self.faults.healed_at = Some(self.now);
+        self.faults.store_cuts.remove(&slot);
+        let stays = |other: usize| Some(other) == apart;
+        self.faults
+            .host_cuts
+            .retain(|(a, b)| (*a != slot || stays(*b)) && (*b != slot || stays(*a)));
+    }
+
+    /// Stored record of a zone's lease.
+    pub(super) fn stored_lease(&mut self, zone: usize) -> Option<LeaseRecord> {
+        match self.store.call(StoreOp::Read { key: lease_key(ZONES[zone]) }) {
+            StoreOutcome::Found { value, .. } => LeaseRecord::parse(&value),
+            _ => None,
+        }
+    }
+
+    /// Ends the cuts between a leader and the successors that its stored record names.
+    fn end_cuts_from_successors(&mut self, leader: usize) {
+        let zone = self.zone_of_slot(leader);
+        let record = self.stored_lease(zone);
+        for identity in record.iter().flat_map(|record| &record.successors) {
+            if let Some(slot) = self.slots.iter().position(|slot| slot.name == identity.name) {
+                self.faults.host_cuts.remove(&(slot.min(leader), slot.max(leader)));
+            }
+        }
+    }
+
     fn cut_from_hosts(&mut self, slot: usize) {
         for other in (0..self.slots.len()).filter(|other| *other != slot) {
             self.faults.host_cuts.insert((slot.min(other), slot.max(other)));
