--- a/components/fuzzer/tests/store_returns.rs
+++ b/components/fuzzer/tests/store_returns.rs
@@ -128,13 +128,20 @@
     check_return(StoreReturn { others_apart: true, leader, ..after_takeover() });
 }
 
-/// Guards against a takeover over a value of an earlier era that a read then shows as stored.
+/// Guards against the same after the death of the leader before both.
 #[test]
-fn can_lead_alone_after_a_write_over_a_value_of_an_earlier_era() {
+fn can_order_with_own_tokens_when_two_leaders_missed_each_other_after_a_death() {
     let (takeover, leader) = (LostTakeover::Killed, LeaderTouch::Apart);
     check_return(StoreReturn { takeover, others_apart: true, leader, ..after_takeover() });
 }
 
+/// Guards against a takeover over a value of an earlier era that a read then shows as stored.
+#[test]
+fn can_lead_alone_after_a_write_over_a_value_of_an_earlier_era() {
+    let plan = StoreReturn { takeover: LostTakeover::Killed, age: 0, ..after_takeover() };
+    check_return(StoreReturn { others_apart: true, leader: LeaderTouch::Apart, ..plan });
+}
+
 /// Guards against a takeover of an ended older record while promises extend the lost lease.
 #[test]
 fn can_lead_alone_while_promises_extend_a_lost_lease_after_a_drain() {
