Cut a leader and its successors off together around a return of the store

Successors in touch with the rest can be told to promise no more; those on an island with their leader can't.

--- a/components/fuzzer/src/world/returns.rs
+++ b/components/fuzzer/src/world/returns.rs
@@ -48,6 +48,8 @@
     Apart,
     /// Of all hosts only the successors that its record names, and not the service, from then on.
     Successors,
+    /// The same, and the successors reach no others and not the service.
+    Island,
     /// Neither the service nor any host, and no host from the takeover on.
     Unheard,
 }
@@ -87,6 +89,7 @@
             (false, _) => LeaderTouch::All,
             (true, false) => LeaderTouch::Apart,
             (true, true) if time.is_multiple_of(2) => LeaderTouch::Unheard,
+            (true, true) if time % 4 == 3 => LeaderTouch::Island,
             (true, true) => LeaderTouch::Successors,
         };
         Self {
@@ -129,8 +132,17 @@
         self.advance(plan.term);
         if let Some(slot) = leader.filter(|_| plan.leader != LeaderTouch::All) {
             self.cut_off(slot);
-            if plan.leader == LeaderTouch::Successors {
-                self.end_cuts_from_successors(slot);
+            let successors = self.successors_of(zone);
+            match plan.leader {
+                LeaderTouch::Successors => self.join(&[slot], &successors),
+                LeaderTouch::Island => {
+                    for successor in &successors {
+                        self.cut_off(*successor);
+                    }
+                    let island: Vec<usize> = successors.into_iter().chain([slot]).collect();
+                    self.join(&island, &island);
+                }
+                _ => {}
             }
         }
         self.store.go_away();
@@ -243,15 +255,18 @@
         }
     }
 
-    /// Ends the cuts between a leader and the successors that its stored record names.
-    fn end_cuts_from_successors(&mut self, leader: usize) {
-        let zone = self.zone_of_slot(leader);
+    /// Slots of the successors that the stored record of a zone's lease names.
+    fn successors_of(&mut self, zone: usize) -> Vec<usize> {
         let record = self.stored_lease(zone);
-        for identity in record.iter().flat_map(|record| &record.successors) {
-            if let Some(slot) = self.slots.iter().position(|slot| slot.name == identity.name) {
-                self.faults.host_cuts.remove(&(slot.min(leader), slot.max(leader)));
-            }
-        }
+        let named = record.iter().flat_map(|record| &record.successors);
+        let slot_of = |name: &str| self.slots.iter().position(|slot| slot.name == name);
+        named.filter_map(|identity| slot_of(&identity.name)).collect()
+    }
+
+    /// Ends the cuts between two groups of hosts.
+    fn join(&mut self, some: &[usize], others: &[usize]) {
+        let joins = |a: usize, b: usize| some.contains(&a) && others.contains(&b);
+        self.faults.host_cuts.retain(|(a, b)| !joins(*a, *b) && !joins(*b, *a));
     }
 
     fn cut_from_hosts(&mut self, slot: usize) {
--- a/components/fuzzer/tests/store_returns.rs
+++ b/components/fuzzer/tests/store_returns.rs
@@ -155,6 +155,13 @@
     check_return(StoreReturn { takeover, leader, ..after_takeover() });
 }
 
+/// Guards against the same where the successors who promise are out of touch, too.
+#[test]
+fn can_lead_alone_while_unreachable_successors_extend_a_lost_lease() {
+    let (takeover, leader) = (LostTakeover::Killed, LeaderTouch::Island);
+    check_return(StoreReturn { takeover, leader, ..after_takeover() });
+}
+
 /// Guards against a takeover at once, beside a leader that is cut off, when the copy has no record.
 #[test]
 fn can_wait_for_the_end_of_a_lease_whose_only_record_the_store_lost() {
