--- a/components/decisions/tests/lease_tokens.rs
+++ b/components/decisions/tests/lease_tokens.rs
@@ -63,7 +63,9 @@
         scope.advance(1_000);
         let leaders: Vec<usize> =
             others.iter().copied().filter(|index| scope.leads(*index)).collect();
-        leaders.into_iter().for_each(|index| order_from(&mut scope, index));
+        for index in leaders {
+            order_from(&mut scope, index);
+        }
     }
     assert_eq!(scope.shared_tokens(), []);
     assert_eq!(scope.overlaps, []);
--- a/components/decisions/tests/support/scope.rs
+++ b/components/decisions/tests/support/scope.rs
@@ -375,13 +375,12 @@
         match effect {
             HostEffect::Store(call) => self.call(index, call.id, call.op),
             HostEffect::Order(order) => {
-                let outcome = match order.kind {
-                    OrderKind::Claim => engine_report(self.sequence, false, &[]),
-                    _ => {
-                        let holder = self.hosts[index].me.name.clone();
-                        self.orders.push(SeenOrder { holder, token: order.token });
-                        OrderOutcome::Conflict
-                    }
+                let outcome = if order.kind == OrderKind::Claim {
+                    engine_report(self.sequence, false, &[])
+                } else {
+                    let holder = self.hosts[index].me.name.clone();
+                    self.orders.push(SeenOrder { holder, token: order.token });
+                    OrderOutcome::Conflict
                 };
                 self.hosts[index].host.submit(HostEvent::OrderOutcome(order.key, outcome));
             }
