--- a/components/decisions/tests/returned_store.rs
+++ b/components/decisions/tests/returned_store.rs
@@ -60,13 +60,13 @@
 fn can_wait_for_a_holder_whose_record_the_copy_does_not_have() {
     let mut scope = TestScope::with_hosts(2);
     scope.advance(5_000);
-    let copy = scope.copy();
+    let copy = scope.store.clone();
     lead_with(&mut scope, 0);
     scope.hosts[0].is_heard = false;
     scope.hosts[1].link = StoreLink::Open;
     scope.advance(6_000);
     assert_eq!((scope.leader(), &scope.overlaps[..]), (Some(0), &[][..]));
-    scope.restore(&copy);
+    scope.store.restore(&copy);
     scope.advance(TAKEOVER_MS);
     let overlap_ms = scope.overlaps.len() * 10;
     assert_eq!(overlap_ms, 0, "ms in which both hosts have authority");
@@ -77,7 +77,7 @@
 fn can_wait_for_a_holder_with_promises_whose_record_the_copy_does_not_have() {
     let mut scope = TestScope::with_hosts(4);
     scope.advance(5_000);
-    let copy = scope.copy();
+    let copy = scope.store.clone();
     lead_with(&mut scope, 0);
     scope.hosts[3].is_heard = false;
     scope.advance(10_000);
@@ -91,7 +91,7 @@
         (Some(0), &[][..]),
         "promises extend the lease"
     );
-    scope.restore(&copy);
+    scope.store.restore(&copy);
     scope.advance(TAKEOVER_MS);
     let overlap_ms = scope.overlaps.len() * 10;
     assert_eq!(overlap_ms, 0, "ms of 20,000 in which both hosts have authority");
@@ -102,11 +102,11 @@
 fn can_leave_the_lease_to_a_holder_that_all_hosts_hear() {
     let mut scope = TestScope::with_hosts(3);
     scope.advance(5_000);
-    let copy = scope.copy();
+    let copy = scope.store.clone();
     lead_with(&mut scope, 0);
     scope.link_all(StoreLink::Open);
     scope.advance(6_000);
-    scope.restore(&copy);
+    scope.store.restore(&copy);
     scope.advance(TAKEOVER_MS);
     assert_eq!(scope.overlaps, []);
     assert!(scope.leader().is_some());
@@ -118,13 +118,13 @@
 fn can_wait_for_a_holder_out_of_touch_whose_record_the_copy_does_not_have() {
     let mut scope = TestScope::with_hosts(2);
     scope.advance(5_000);
-    let copy = scope.copy();
+    let copy = scope.store.clone();
     lead_with(&mut scope, 0);
     scope.hosts[0].is_heard = false;
     scope.hosts[1].link = StoreLink::Open;
     scope.advance(6_000);
     scope.hosts[0].link = StoreLink::Down;
-    scope.restore(&copy);
+    scope.store.restore(&copy);
     scope.advance(TAKEOVER_MS);
     let overlap_ms = scope.overlaps.len() * 10;
     assert_eq!(overlap_ms, 0, "ms in which both hosts have authority");
@@ -141,13 +141,13 @@
         scope.wait_until(TAKEOVER_MS, |scope| scope.lease("east").is_some_and(|old| old.ended))
     );
     scope.hosts[2].is_up = false;
-    let copy = scope.copy();
+    let copy = scope.store.clone();
     lead_with(&mut scope, 0);
     scope.hosts[0].is_heard = false;
     scope.hosts[1].link = StoreLink::Open;
     scope.advance(6_000);
     assert_eq!((scope.leader(), &scope.overlaps[..]), (Some(0), &[][..]));
-    scope.restore(&copy);
+    scope.store.restore(&copy);
     scope.advance(TAKEOVER_MS);
     let overlap_ms = scope.overlaps.len() * 10;
     assert_eq!(overlap_ms, 0, "ms in which both hosts have authority");
@@ -159,13 +159,13 @@
     let mut scope = TestScope::with_hosts(2);
     scope.advance(5_000);
     lead_with(&mut scope, 1);
-    let copy = scope.copy();
+    let copy = scope.store.clone();
     scope.hosts[1].is_up = false;
     scope.link_all(StoreLink::Open);
     assert!(scope.wait_until(TAKEOVER_MS, |scope| scope.leads(0)), "the other host takes over");
     scope.advance(5_000);
     scope.hosts[0].is_heard = false;
-    scope.restore(&copy);
+    scope.store.restore(&copy);
     scope.restart(1);
     scope.advance(TAKEOVER_MS);
     let overlap_ms = scope.overlaps.len() * 10;
--- a/components/decisions/tests/support/mod.rs
+++ b/components/decisions/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some of these functions")]
 
 pub mod leader;
+pub mod returning_store;
 pub mod scope;
 
 use std::time::Duration;
--- a/components/decisions/tests/support/scope.rs
+++ b/components/decisions/tests/support/scope.rs
@@ -1,4 +1,4 @@
-//! Test scope: several hosts, one key-value service that can come back from an earlier copy, and one engine.
+//! Test scope: several hosts, one key-value service and one engine.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,6 +15,7 @@
 use wagtailledge_decisions::lease::LeaseRecord;
 use wagtailledge_decisions::message::MESSAGE_VERSION;
 use wagtailledge_decisions::message::PeerEnvelope;
+use wagtailledge_decisions::message::PeerMessage;
 use wagtailledge_decisions::order::OrderKind;
 use wagtailledge_decisions::order::OrderOutcome;
 use wagtailledge_decisions::store::StoreCallId;
@@ -24,9 +25,8 @@
 use super::TestHost;
 use super::identity;
 use super::leader::engine_report;
+use super::returning_store::TestStore;
 
-/// The bits of a version from here on hold the era.
-const ERA_SHIFT: u32 = 44;
 /// Name of the engine.
 const ENGINE: &str = "llm-1";
 
@@ -113,17 +113,13 @@
     pub token: u64,
 }
 
-/// What the key-value service holds, by key.
-type Contents = BTreeMap<String, (u64, String)>;
-
 /// Hosts that compete for one lease.
 #[derive(Debug)]
 pub struct TestScope {
     /// The hosts, named `h0`, `h1` and so on.
     pub hosts: Vec<ScopeHost>,
-    contents: Contents,
-    number: u64,
-    era: u64,
+    /// The key-value service.
+    pub store: TestStore,
     /// Orders that reached the engine, without claims, which carry no token there.
     pub orders: Vec<SeenOrder>,
     sequence: u64,
@@ -131,14 +127,6 @@
     pub overlaps: Vec<(String, String)>,
 }
 
-fn dated(era: u64, number: u64) -> u64 {
-    if number == 0 { 0 } else { (era << ERA_SHIFT) | number }
-}
-
-fn era_of(version: u64) -> u64 {
-    version >> ERA_SHIFT
-}
-
 impl TestScope {
     /// Hosts of one scope, none of which has read the lease.
     pub fn with_hosts(count: usize) -> Self {
@@ -162,9 +150,7 @@
         });
         let mut scope = Self {
             hosts: hosts.collect(),
-            contents: Contents::new(),
-            number: 10,
-            era: 1,
+            store: TestStore::new(),
             orders: Vec::new(),
             sequence: 0,
             overlaps: Vec::new(),
@@ -209,7 +195,7 @@
                 state: ListedState::Live,
                 process: Some(ListedProcess {
                     incarnation: host.me.incarnation,
-                    version: dated(self.era, host.entry),
+                    version: self.store.version(host.entry),
                 }),
             })
             .collect();
@@ -271,27 +257,9 @@
         self.process_effects();
     }
 
-    /// What the key-value service holds now.
-    pub fn copy(&self) -> (Contents, u64) {
-        (self.contents.clone(), self.number)
-    }
-
-    /// Lets the key-value service come back from a copy.
-    pub fn restore(&mut self, copy: &(Contents, u64)) {
-        (self.contents, self.number) = copy.clone();
-        self.era += 1;
-    }
-
-    /// Writes a key, as another writer would.
-    pub fn write(&mut self, key: &str, value: &str) {
-        self.number += 1;
-        self.contents.insert(key.to_owned(), (self.number, value.to_owned()));
-    }
-
     /// The lease record of a scope.
     pub fn lease(&self, scope: &str) -> Option<LeaseRecord> {
-        let (_, value) = self.contents.get(&format!("lease/{scope}"))?;
-        LeaseRecord::parse(value)
+        LeaseRecord::parse(self.store.value(&format!("lease/{scope}"))?)
     }
 
     /// Delivers the answers that a host waits for.
@@ -315,15 +283,14 @@
         self.hosts[index].processed = 0;
         self.hosts[index].answers.clear();
         self.register_engine(index);
-        self.number += 1;
-        self.hosts[index].entry = self.number;
+        self.hosts[index].entry = self.store.next_number();
         self.list_hosts();
     }
 
     /// Carries out the late calls of a host. Returns how many took effect.
     pub fn deliver_late(&mut self, index: usize) -> usize {
         let late = std::mem::take(&mut self.hosts[index].late);
-        let outcomes = late.into_iter().map(|op| self.execute(op));
+        let outcomes = late.into_iter().map(|op| self.store.execute(op));
         outcomes.filter(|outcome| matches!(outcome, StoreOutcome::Done { .. })).count()
     }
 
@@ -384,36 +351,18 @@
                 };
                 self.hosts[index].host.submit(HostEvent::OrderOutcome(order.key, outcome));
             }
-            HostEffect::Send(to, message) => {
-                self.deliver(
-                    index,
-                    &[to],
-                    PeerEnvelope {
-                        version: MESSAGE_VERSION,
-                        from: self.hosts[index].me.clone(),
-                        message: *message,
-                    },
-                );
-            }
-            HostEffect::Broadcast(receivers, message) => {
-                self.deliver(
-                    index,
-                    &receivers,
-                    PeerEnvelope {
-                        version: MESSAGE_VERSION,
-                        from: self.hosts[index].me.clone(),
-                        message: *message,
-                    },
-                );
-            }
+            HostEffect::Send(to, message) => self.deliver(index, &[to], *message),
+            HostEffect::Broadcast(receivers, message) => self.deliver(index, &receivers, *message),
             _ => {}
         }
     }
 
-    fn deliver(&mut self, from: usize, receivers: &[HostIdentity], envelope: PeerEnvelope) {
+    fn deliver(&mut self, from: usize, receivers: &[HostIdentity], message: PeerMessage) {
         if !self.hosts[from].is_heard {
             return;
         }
+        let from = self.hosts[from].me.clone();
+        let envelope = PeerEnvelope { version: MESSAGE_VERSION, from, message };
         for host in self.hosts.iter_mut().filter(|host| host.is_heard && host.is_up) {
             if receivers.iter().any(|receiver| receiver.address == host.me.address) {
                 host.host.submit(HostEvent::Peer(Box::new(envelope.clone())));
@@ -423,14 +372,14 @@
 
     fn call(&mut self, index: usize, id: StoreCallId, op: StoreOp) {
         let outcome = match self.hosts[index].link {
-            StoreLink::Open => self.answer(index, op),
+            StoreLink::Open => self.store.answer(&mut self.hosts[index].era, op),
             StoreLink::Down => StoreOutcome::Failed,
             StoreLink::LosesAnswers => {
-                self.execute(op);
+                self.store.execute(op);
                 StoreOutcome::Failed
             }
             StoreLink::Slow => {
-                let outcome = self.answer(index, op);
+                let outcome = self.store.answer(&mut self.hosts[index].era, op);
                 self.hosts[index].answers.push((id, outcome));
                 return;
             }
@@ -442,58 +391,11 @@
         self.hosts[index].host.submit(HostEvent::StoreOutcome(id, outcome));
     }
 
-    /// Carries a call out as the client of a host does, which knows the eras that answers named.
-    fn answer(&mut self, index: usize, op: StoreOp) -> StoreOutcome {
-        let known = self.hosts[index].era;
-        self.hosts[index].era = self.era;
-        let expected = match &op {
-            StoreOp::Read { .. } => 0,
-            StoreOp::CompareAndSwap { expected, .. } | StoreOp::Delete { expected, .. } => {
-                *expected
-            }
-        };
-        if expected != 0 && era_of(expected) != known {
-            let (StoreOp::Read { key }
-            | StoreOp::CompareAndSwap { key, .. }
-            | StoreOp::Delete { key, .. }) = op;
-            return self.read(&key);
-        }
-        let outcome = self.execute(op);
-        let is_written = matches!(outcome, StoreOutcome::Done { .. });
-        let is_unknown = expected != 0 && era_of(expected) != self.era;
-        if is_written && is_unknown { StoreOutcome::Failed } else { outcome }
-    }
-
-    fn execute(&mut self, op: StoreOp) -> StoreOutcome {
-        let (key, expected, value) = match op {
-            StoreOp::Read { key } => return self.read(&key),
-            StoreOp::CompareAndSwap { key, expected, value, .. } => (key, expected, Some(value)),
-            StoreOp::Delete { key, expected } => (key, expected, None),
-        };
-        let number = expected & ((1 << ERA_SHIFT) - 1);
-        if self.contents.get(&key).map_or(0, |(number, _)| *number) != number {
-            return self.read(&key);
-        }
-        self.number += 1;
-        match value {
-            Some(value) => self.contents.insert(key, (self.number, value)),
-            None => self.contents.remove(&key),
-        };
-        StoreOutcome::Done { version: dated(self.era, self.number) }
-    }
-
-    fn read(&self, key: &str) -> StoreOutcome {
-        self.contents.get(key).map_or(StoreOutcome::Absent, |(number, value)| StoreOutcome::Found {
-            version: dated(self.era, *number),
-            value: value.clone(),
-        })
-    }
-
     /// Announces the lease record to a host, as its watch would.
     pub fn announce_lease(&mut self, index: usize) {
         let key = format!("lease/{}", self.hosts[index].me.scope);
-        if let StoreOutcome::Found { version, value } = self.read(&key) {
-            self.hosts[index].era = self.era;
+        if let StoreOutcome::Found { version, value } = self.store.read(&key) {
+            self.hosts[index].era = self.store.era();
             self.hosts[index].host.submit(HostEvent::Lease(version, value));
             self.process_effects();
         }
