--- a/components/decisions/tests/lease_tokens.rs
+++ b/components/decisions/tests/lease_tokens.rs
@@ -160,6 +160,7 @@
             }
         }
         assert_eq!(scope.shared_tokens(), [], "day {seed}");
+        assert_eq!(scope.overlaps, [], "day {seed}");
         terms += scope.token_count();
     }
     assert!(terms > 3 * DAYS as usize, "only {terms} tokens in {DAYS} days");
