Take the lease over from an own takeover that was stored late

Callers of models that were not loaded got no answer in time: the scope had no leader for up to 996 s.

Cause: a takeover whose answer is lost may be stored late. If the next attempt names other successors, or was made in another era of the store, the process finds its own record and does not recognize it. It then waits for that record's holder, which is itself, and for successors that may be gone.

Change: the process that a record names as its holder may take the lease over at once if it does not hold it. No other process can have authority under that record.

--- a/components/decisions/src/lease/ground.rs
+++ b/components/decisions/src/lease/ground.rs
@@ -9,6 +9,8 @@
     StoreReturned,
     /// The record says that its holder has ended the lease.
     Ended,
+    /// This process wrote the record by a takeover that it did not count as stored.
+    OwnTakeover,
     /// The process that ran before this one on the same host held it.
     EarlierProcess,
     /// It expired and names no successors whose promises could extend it.
@@ -30,6 +32,7 @@
             Self::NoRecord => "no record",
             Self::StoreReturned => "the store came back older during a term of this process",
             Self::Ended => "ended by its holder",
+            Self::OwnTakeover => "stored by an earlier takeover of this process",
             Self::EarlierProcess => "held by an earlier process of this host",
             Self::NoSuccessors => "expired without successors",
             Self::Unlisted => "holder and successors are not listed",
--- a/components/decisions/src/lease/observed.rs
+++ b/components/decisions/src/lease/observed.rs
@@ -140,6 +140,9 @@
         if predecessor == Some(&record.holder) {
             return Some(TakeoverGround::EarlierProcess);
         }
+        if record.holder == *context.me {
+            return Some(TakeoverGround::OwnTakeover);
+        }
         if !is_expired {
             return None;
         }
